--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,155 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"github.com/samber/do/v2"
+	"github.com/zeebo/errs/v2"
+
+	"geraniumpass/config"
+	"geraniumpass/ledger"
+	"geraniumpass/queue"
+	"geraniumpass/setup"
+	"geraniumpass/wire"
+)
+
+const (
+	tickEvery   = 100 * time.Millisecond
+	healthEvery = 500 * time.Millisecond
+	expireEvery = 30 * time.Second
+	flushTime   = time.Second
+	sessionsFor = time.Hour
+)
+
+// Agent is the process beside one upstream.
+type Agent struct {
+	cfg      *setup.Agent
+	log      hclog.Logger
+	clock    clockwork.Clock
+	self     wire.Identity
+	ledger   *ledger.Ledger
+	config   *config.Holder
+	upstream Upstream
+	sessions *sessions
+	runs     *runs
+	rank     *rank
+	app      *fiber.App
+
+	// sched guards the queue and the limiter, which decide what runs next.
+	sched    sync.Mutex
+	queue    *queue.Queue
+	limiter  *queue.Limiter
+	running  int
+	nextItem uint64
+	waiting  map[uint64]*run
+	// runningCost is the cost of what runs now.
+	runningCost float64
+
+	leaving    atomic.Bool
+	stopping   atomic.Bool
+	healthy    atomic.Bool
+	lastAsk    atomic.Int64
+	leftAt     atomic.Int64
+	inFlight   sync.WaitGroup
+	background sync.WaitGroup
+}
+
+// New builds an agent from what the injector provides: *setup.Agent, hclog.Logger, clockwork.Clock and Upstream.
+func New(i do.Injector) (*Agent, error) {
+	cfg, err := do.Invoke[*setup.Agent](i)
+	if err != nil {
+		return nil, errs.Wrap(err)
+	}
+	clock, err := do.Invoke[clockwork.Clock](i)
+	if err != nil {
+		return nil, errs.Wrap(err)
+	}
+	log, err := do.Invoke[hclog.Logger](i)
+	if err != nil {
+		return nil, errs.Wrap(err)
+	}
+	up, err := do.Invoke[Upstream](i)
+	if err != nil {
+		return nil, errs.Wrap(err)
+	}
+	self := wire.Identity{
+		ID:          cfg.ID,
+		Role:        cfg.Role,
+		Domain:      cfg.Domain,
+		Incarnation: wire.NewIncarnation(),
+	}
+	a := &Agent{
+		cfg:      cfg,
+		log:      log.With("agent", cfg.ID),
+		clock:    clock,
+		self:     self,
+		ledger:   ledger.New(clock, self.Incarnation, sessionsFor),
+		config:   config.NewHolder(clock),
+		upstream: up,
+		sessions: newSessions(),
+		runs:     newRuns(),
+		queue:    queue.New(),
+		waiting:  make(map[uint64]*run),
+		limiter:  queue.NewLimiter(),
+	}
+	a.healthy.Store(true)
+	a.rank = newRank(a)
+	return a, nil
+}
+
+// Run serves until ctx ends, then stops gracefully: it refuses new work, finishes what runs and returns.
+func (a *Agent) Run(ctx context.Context) error {
+	a.app = a.routes()
+	failed := make(chan error, 1)
+	go func() {
+		failed <- a.app.Listen(a.cfg.Listen, fiber.ListenConfig{DisableStartupMessage: true})
+	}()
+	loops, stop := context.WithCancel(context.Background())
+	defer stop()
+	a.background.Add(1)
+	go a.loop(loops)
+	a.log.Info("agent started", "listen", a.cfg.Listen, "service", a.cfg.Upstream.Service, "incarnation", a.self.Incarnation)
+	select {
+	case err := <-failed:
+		return errs.Wrap(err)
+	case <-ctx.Done():
+	}
+	a.drain()
+	stop()
+	a.background.Wait()
+	a.sessions.closeAll(flushTime)
+	_ = a.app.ShutdownWithTimeout(flushTime)
+	a.log.Info("agent stopped")
+	return nil
+}
+
+func (a *Agent) loop(ctx context.Context) {
+	defer a.background.Done()
+	tick := a.clock.NewTicker(tickEvery)
+	defer tick.Stop()
+	health := a.clock.NewTicker(healthEvery)
+	defer health.Stop()
+	expire := a.clock.NewTicker(expireEvery)
+	defer expire.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.Chan():
+			a.expireQueue()
+			a.schedule()
+		case <-health.Chan():
+			a.checkHealth()
+			a.abandon()
+		case <-expire.Chan():
+			a.ledger.Expire()
+			a.runs.expire(a.clock.Now())
+		}
+	}
+}
--- /dev/null
+++ b/agent/run.go
@@ -0,0 +1,200 @@
+package agent
+
+import (
+	"sync"
+	"time"
+
+	"geraniumpass/answer"
+	"geraniumpass/ledger"
+	"geraniumpass/proto"
+)
+
+const (
+	// windowParts and windowBytes bound what may be sent ahead of the acknowledgements.
+	windowParts = 128
+	windowBytes = 512 << 10
+	// abandonAfter is how long an attempt goes on without a link to its entry.
+	abandonAfter = 15 * time.Second
+)
+
+// run is one attempt at this agent with the entries that read its answer.
+type run struct {
+	key       ledger.Key
+	dispatch  *proto.Dispatch
+	item      uint64
+	expires   time.Time
+	queuedAt  time.Time
+	startedAt time.Time
+
+	mu        sync.Mutex
+	room      *sync.Cond
+	buffer    *answer.Buffer
+	readers   []reader
+	sent      uint32
+	acked     uint32
+	abandoned bool
+	alone     time.Time
+}
+
+// reader is an attempt that reads the run's answer.
+type reader struct {
+	key  ledger.Key
+	next uint32
+}
+
+func newRun(key ledger.Key, d *proto.Dispatch, now time.Time) *run {
+	r := &run{
+		key:      key,
+		dispatch: d,
+		expires:  now.Add(d.Remaining),
+		queuedAt: now,
+		buffer:   answer.NewBuffer(d.ClaimKey != ""),
+		readers:  []reader{{key: key}},
+	}
+	r.room = sync.NewCond(&r.mu)
+	return r
+}
+
+// append stores a part and sends it to every reader; it waits while the window is full and returns false when the run was given up.
+func (r *run) append(p *proto.Answer, s *sessions) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for !r.abandoned && r.full() {
+		r.room.Wait()
+	}
+	if r.abandoned {
+		return false
+	}
+	p = r.buffer.Append(p)
+	if p == nil {
+		return false
+	}
+	r.sent = p.Seq + 1
+	for _, rd := range r.readers {
+		sendPart(s, rd.key, p)
+	}
+	return true
+}
+
+func (r *run) full() bool {
+	if r.dispatch.ClaimKey != "" {
+		return false
+	}
+	return r.sent-r.acked >= windowParts || r.buffer.Bytes() >= windowBytes
+}
+
+func sendPart(s *sessions, to ledger.Key, p *proto.Answer) {
+	c := *p
+	c.N = to.N
+	s.send(to.Session, &proto.Frame{Answer: &c})
+}
+
+// attach adds a reader, or finds it again on a new link, and sends what it lacks from next on.
+func (r *run) attach(key ledger.Key, next uint32, s *sessions) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	parts, ok := r.buffer.From(next)
+	if !ok {
+		return false
+	}
+	found := false
+	for i := range r.readers {
+		found = found || r.readers[i].key == key
+	}
+	if !found {
+		r.readers = append(r.readers, reader{
+			key:  key,
+			next: next,
+		})
+	}
+	for _, p := range parts {
+		sendPart(s, key, p)
+	}
+	return true
+}
+
+// ack notes what a reader has and returns true when the run is over and everyone has all of it.
+func (r *run) ack(key ledger.Key, next uint32) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	low := next
+	for i := range r.readers {
+		if r.readers[i].key == key {
+			r.readers[i].next = max(r.readers[i].next, next)
+		}
+		low = min(low, r.readers[i].next)
+	}
+	r.acked = max(r.acked, low)
+	r.buffer.Ack(low)
+	r.room.Broadcast()
+	return r.buffer.Ended() && r.acked >= r.sent
+}
+
+// detach removes a reader and returns true when none is left.
+func (r *run) detach(key ledger.Key) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	kept := r.readers[:0:0]
+	for _, rd := range r.readers {
+		if rd.key != key {
+			kept = append(kept, rd)
+		}
+	}
+	r.readers = kept
+	return len(kept) == 0
+}
+
+// giveUp makes every later append fail.
+func (r *run) giveUp() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.abandoned = true
+	r.room.Broadcast()
+}
+
+// unread returns true when no reader has had a link for longer than the patience.
+func (r *run) unread(now time.Time, s *sessions) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, rd := range r.readers {
+		if s.connected(rd.key.Session) {
+			r.alone = time.Time{}
+			return false
+		}
+	}
+	if r.alone.IsZero() {
+		r.alone = now
+	}
+	return now.Sub(r.alone) > abandonAfter
+}
+
+func (r *run) keys() []ledger.Key {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]ledger.Key, 0, len(r.readers))
+	for _, rd := range r.readers {
+		out = append(out, rd.key)
+	}
+	return out
+}
+
+func (r *run) ended() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.buffer.Ended()
+}
+
+// owed returns true while a connected reader lacks a part of a finished answer.
+func (r *run) owed(s *sessions) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.buffer.Ended() {
+		return false
+	}
+	for _, rd := range r.readers {
+		if rd.next < r.sent && s.connected(rd.key.Session) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/agent/session.go
@@ -0,0 +1,74 @@
+package agent
+
+import (
+	"sync"
+	"time"
+
+	"geraniumpass/ledger"
+	"geraniumpass/proto"
+	"geraniumpass/wire"
+)
+
+// sessions knows the newest link of each entry incarnation.
+type sessions struct {
+	mu    sync.RWMutex
+	links map[ledger.Session]*wire.Link
+}
+
+func newSessions() *sessions {
+	return &sessions{links: make(map[ledger.Session]*wire.Link)}
+}
+
+func sessionOf(l *wire.Link) ledger.Session {
+	return ledger.Session{
+		Entry:       l.Peer.ID,
+		Incarnation: l.Peer.Incarnation,
+	}
+}
+
+func (s *sessions) add(l *wire.Link) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.links[sessionOf(l)] = l
+}
+
+func (s *sessions) remove(l *wire.Link) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.links[sessionOf(l)] == l {
+		delete(s.links, sessionOf(l))
+	}
+}
+
+// send hands a frame to the session's link; without one it is dropped, and resuming brings it later.
+func (s *sessions) send(to ledger.Session, f *proto.Frame) {
+	s.mu.RLock()
+	l := s.links[to]
+	s.mu.RUnlock()
+	if l != nil {
+		_ = l.Send(f)
+	}
+}
+
+func (s *sessions) connected(to ledger.Session) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.links[to] != nil
+}
+
+func (s *sessions) all() []*wire.Link {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	out := make([]*wire.Link, 0, len(s.links))
+	for _, l := range s.links {
+		out = append(out, l)
+	}
+	return out
+}
+
+func (s *sessions) closeAll(flush time.Duration) {
+	for _, l := range s.all() {
+		l.Flush(flush)
+		l.Close()
+	}
+}
--- /dev/null
+++ b/agent/work.go
@@ -0,0 +1,293 @@
+package agent
+
+import (
+	"errors"
+	"time"
+
+	"geraniumpass/check"
+	"geraniumpass/core"
+	"geraniumpass/ledger"
+	"geraniumpass/proto"
+	"geraniumpass/queue"
+)
+
+// leaveGrace is the time after which a leaving upstream must not be given anything new.
+const leaveGrace = 3 * time.Second
+
+func (a *Agent) dispatch(key ledger.Key, d *proto.Dispatch) {
+	if a.leaving.Load() && d.ClaimKey == "" {
+		a.refuse(key, d.ClaimKey, core.OutcomeNotRun, core.ReasonLeaving, 0)
+		return
+	}
+	v := a.ledger.Offer(ledger.Offer{
+		Key:         key,
+		Incarnation: d.Incarnation,
+		Idempotent:  d.Idempotent,
+		ClaimKey:    d.ClaimKey,
+		ClaimDigest: d.ClaimDigest,
+		ClaimFor:    d.ClaimFor,
+	})
+	switch v.Action {
+	case ledger.ActionRefuse:
+		a.refuse(key, d.ClaimKey, v.Outcome, v.Reason, 0)
+	case ledger.ActionAttach:
+		a.attach(key, v.Holder)
+	case ledger.ActionQueue:
+		// A claim is looked up first even while leaving: what has run here is answered, only what is new is refused.
+		if a.leaving.Load() && a.ledger.Cancel(key) {
+			a.refuse(key, d.ClaimKey, core.OutcomeNotRun, core.ReasonLeaving, 0)
+			return
+		}
+		a.enqueue(key, d)
+	}
+}
+
+func (a *Agent) attach(key, holder ledger.Key) {
+	r := a.runs.get(holder)
+	if r == nil {
+		a.refuse(key, "", core.OutcomeUnknown, core.ReasonClaimLost, 0)
+		return
+	}
+	a.runs.put(key, r)
+	if !r.attach(key, 0, a.sessions) {
+		a.refuse(key, "", core.OutcomeUnknown, core.ReasonClaimLost, 0)
+	}
+}
+
+func (a *Agent) enqueue(key ledger.Key, d *proto.Dispatch) {
+	now := a.clock.Now()
+	r := newRun(key, d, now)
+	a.runs.put(key, r)
+	a.sched.Lock()
+	a.nextItem++
+	r.item = a.nextItem
+	a.waiting[r.item] = r
+	shed := a.queue.Push(now, queue.Item{
+		ID:      r.item,
+		Class:   d.Class,
+		Account: d.Account,
+		Due:     now.Add(d.TargetLeft),
+		Expires: r.expires,
+		Cost:    max(d.Cost, 1),
+	}, a.runningCost, a.limiter.Drain())
+	a.sched.Unlock()
+	a.shed(shed, core.ReasonTargetMissed)
+	a.schedule()
+}
+
+// shed refuses items that the queue gave up before they ran.
+func (a *Agent) shed(items []queue.Item, reason core.Reason) {
+	for _, it := range items {
+		a.sched.Lock()
+		r := a.waiting[it.ID]
+		delete(a.waiting, it.ID)
+		wait := a.backlogTime()
+		a.sched.Unlock()
+		if r != nil && a.ledger.Cancel(r.key) {
+			a.refuseRun(r, reason, wait)
+		}
+	}
+}
+
+func (a *Agent) refuseRun(r *run, reason core.Reason, retryAfter time.Duration) {
+	keys := r.keys()
+	a.runs.remove(append(keys, r.key)...)
+	r.giveUp()
+	for _, k := range keys {
+		outcome := core.OutcomeNotRun
+		if k != r.key {
+			// An attached attempt shares the fate of the holder's claim, which a later repeat may still run.
+			outcome = core.OutcomeUnknown
+		}
+		a.refuse(k, r.dispatch.ClaimKey, outcome, reason, retryAfter)
+	}
+}
+
+func (a *Agent) refuse(key ledger.Key, claimKey string, outcome core.Outcome, reason core.Reason, retryAfter time.Duration) {
+	if outcome == core.OutcomeNotRun {
+		st, ok := a.ledger.State(key)
+		check.Hold(check.NotRunTrue, !ok || st != ledger.StateRunning && st != ledger.StateDone, "attempt %s is refused as not run in state %d", key, st)
+	}
+	a.sessions.send(key.Session, &proto.Frame{Refused: &proto.Refused{
+		N:           key.N,
+		Outcome:     outcome,
+		Reason:      reason,
+		RetryAfter:  retryAfter,
+		ClaimClosed: a.ledger.ClaimClosed(claimKey),
+	}})
+}
+
+func (a *Agent) cancel(key ledger.Key) {
+	r := a.runs.get(key)
+	if a.ledger.Cancel(key) {
+		if r != nil {
+			a.unqueue(r)
+			a.runs.remove(append(r.keys(), r.key)...)
+			r.giveUp()
+		}
+		a.refuse(key, "", core.OutcomeNotRun, core.ReasonCancelled, 0)
+		return
+	}
+	if r == nil || !r.detach(key) {
+		return
+	}
+	a.runs.remove(key)
+	// What may not run twice is left to finish: a repeat with the same key is owed its answer.
+	if r.dispatch.Idempotent && !r.ended() {
+		r.giveUp()
+		a.upstream.Cancel(r.dispatch.Request)
+	}
+}
+
+func (a *Agent) unqueue(r *run) {
+	a.sched.Lock()
+	defer a.sched.Unlock()
+	a.queue.Remove(r.item)
+	delete(a.waiting, r.item)
+}
+
+func (a *Agent) resume(key ledger.Key, next uint32) {
+	r := a.runs.get(key)
+	if r != nil && r.attach(key, next, a.sessions) {
+		return
+	}
+	if _, known := a.ledger.State(key); known {
+		a.refuse(key, "", core.OutcomeUnknown, core.ReasonUpstreamLost, 0)
+		return
+	}
+	// The dispatch itself was lost with the link; a tombstone makes sure that it stays so.
+	if a.ledger.Cancel(key) {
+		a.refuse(key, "", core.OutcomeNotRun, core.ReasonStale, 0)
+	}
+}
+
+func (a *Agent) ack(key ledger.Key, next uint32) {
+	r := a.runs.get(key)
+	if r == nil || !r.ack(key, next) || r.dispatch.ClaimKey != "" {
+		return
+	}
+	a.runs.remove(append(r.keys(), r.key)...)
+}
+
+// schedule starts as many waiting attempts as the limit allows.
+func (a *Agent) schedule() {
+	for {
+		r := a.next()
+		if r == nil {
+			return
+		}
+		if !a.ledger.Start(r.key) {
+			a.runs.remove(append(r.keys(), r.key)...)
+			a.done(r, false)
+			continue
+		}
+		if at := a.leftAt.Load(); at != 0 {
+			since := a.clock.Now().Sub(time.Unix(0, at))
+			check.Hold(check.LeavingIdle, since < leaveGrace, "attempt %s starts %s after leaving", r.key, since)
+		}
+		a.inFlight.Add(1)
+		go a.execute(r)
+	}
+}
+
+func (a *Agent) next() *run {
+	a.sched.Lock()
+	defer a.sched.Unlock()
+	if a.running >= a.limiter.Limit() {
+		return nil
+	}
+	it, ok := a.queue.Pop()
+	if !ok {
+		return nil
+	}
+	r := a.waiting[it.ID]
+	delete(a.waiting, it.ID)
+	if r != nil {
+		a.running++
+		a.runningCost += max(r.dispatch.Cost, 1)
+	}
+	return r
+}
+
+func (a *Agent) done(r *run, observe bool) {
+	a.sched.Lock()
+	defer a.sched.Unlock()
+	a.running--
+	a.runningCost -= max(r.dispatch.Cost, 1)
+	if observe {
+		now := a.clock.Now()
+		a.limiter.Observe(now, max(r.dispatch.Cost, 1), now.Sub(r.startedAt), a.queue.Len() > 0)
+	}
+}
+
+func (a *Agent) execute(r *run) {
+	defer a.inFlight.Done()
+	r.startedAt = a.clock.Now()
+	a.log.Debug("attempt starts", "request", r.dispatch.Request, "attempt", r.key.String())
+	err := a.upstream.Do(r.dispatch, r.expires, func(p *proto.Answer) error {
+		if !r.append(p, a.sessions) {
+			return &givenUpError{}
+		}
+		return nil
+	})
+	a.finish(r, err)
+	a.done(r, err == nil)
+	a.schedule()
+}
+
+func (a *Agent) finish(r *run, err error) {
+	var unsent *UnsentError
+	if errors.As(err, &unsent) {
+		a.ledger.Unsent(r.key)
+		a.refuseRun(r, core.ReasonUpstreamLost, 0)
+		return
+	}
+	a.ledger.Finish(r.key)
+	var given *givenUpError
+	if errors.As(err, &given) {
+		return
+	}
+	if err != nil {
+		a.log.Warn("upstream lost", "request", r.dispatch.Request, "error", err)
+		r.append(lostPart(), a.sessions)
+	}
+}
+
+// givenUpError ends the reading of an answer that nobody wants any more.
+type givenUpError struct{}
+
+// Error says that the attempt was given up.
+func (*givenUpError) Error() string {
+	return "attempt was given up"
+}
+
+func (a *Agent) expireQueue() {
+	a.sched.Lock()
+	gone := a.queue.Expire(a.clock.Now())
+	a.sched.Unlock()
+	a.shed(gone, core.ReasonDeadline)
+}
+
+// abandon gives up idempotent attempts whose entry has been gone for long.
+func (a *Agent) abandon() {
+	now := a.clock.Now()
+	a.runs.each(func(r *run) {
+		if !r.unread(now, a.sessions) || r.dispatch.ClaimKey != "" {
+			return
+		}
+		a.runs.remove(append(r.keys(), r.key)...)
+		if r.dispatch.Idempotent && !r.ended() {
+			r.giveUp()
+			a.upstream.Cancel(r.dispatch.Request)
+		}
+	})
+}
+
+// backlogTime is how long the queue takes to drain; the caller holds sched.
+func (a *Agent) backlogTime() time.Duration {
+	drain := a.limiter.Drain()
+	if drain <= 0 {
+		return 0
+	}
+	return time.Duration(a.queue.Cost() / drain * float64(time.Second))
+}
--- /dev/null
+++ b/cmd/demo/show.go
@@ -0,0 +1,243 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sort"
+	"strconv"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/samber/lo"
+
+	"geraniumpass/caller"
+	"geraniumpass/config"
+	"geraniumpass/core"
+	"geraniumpass/deploy"
+	"geraniumpass/entry"
+	"geraniumpass/setup"
+)
+
+const (
+	lookupTokens  = 8
+	summaryTokens = 120
+	restartAfter  = time.Second
+	sendersEach   = 6
+	pause         = 40 * time.Millisecond
+	newTarget     = 350 * time.Millisecond
+)
+
+// show sends the demonstration's work and breaks things while it goes on.
+type show struct {
+	d      *deploy.Deployment
+	model  string
+	plain  string
+	keys   []string
+	random *rand.Rand
+
+	mu      sync.Mutex
+	results map[string][]caller.Result
+	probes  map[string]caller.Verdict
+	notes   []string
+}
+
+func newShow(d *deploy.Deployment) *show {
+	keys := lo.Values(d.Plan.Keys)
+	sort.Strings(keys)
+	s := &show{
+		d:       d,
+		keys:    keys,
+		random:  rand.New(rand.NewPCG(1, 2)),
+		results: make(map[string][]caller.Result),
+		probes:  make(map[string]caller.Verdict),
+	}
+	for _, sv := range d.Plan.Services {
+		if sv.Kind == core.KindModel {
+			s.model = sv.Name
+		} else {
+			s.plain = sv.Name
+		}
+	}
+	return s
+}
+
+func (s *show) run(lasts time.Duration) {
+	end := time.Now().Add(lasts)
+	var senders sync.WaitGroup
+	for i := range sendersEach {
+		senders.Go(func() { s.send(end, i, s.lookup) })
+		senders.Go(func() { s.send(end, i, s.summary) })
+		senders.Go(func() { s.send(end, i, s.booking) })
+	}
+	s.at(lasts/4, s.killAgent)
+	s.at(lasts/4, s.leave)
+	s.at(lasts/4, s.retarget)
+	senders.Wait()
+}
+
+// at waits and then lets one thing happen in the middle of the load.
+func (s *show) at(after time.Duration, event func() string) {
+	time.Sleep(after)
+	note := event()
+	fmt.Println("  *", note)
+}
+
+func (s *show) send(end time.Time, sender int, one func(c *caller.Caller, n int)) {
+	for n := 0; time.Now().Before(end); n++ {
+		e := s.d.Entries[(sender+n)%len(s.d.Entries)]
+		one(&caller.Caller{
+			Entry:   e.Listen,
+			Key:     s.keys[(sender*7+n)%len(s.keys)],
+			Timeout: 20 * time.Second,
+		}, n)
+		time.Sleep(pause)
+	}
+}
+
+func (s *show) lookup(c *caller.Caller, n int) {
+	c.Label = "lookup"
+	probe := uuid.NewString()
+	s.keep("lookup", probe, c.Completion(s.model, "status of simulation "+strconv.Itoa(n)+" "+probe, lookupTokens, n%2 == 0, probe), false)
+}
+
+func (s *show) summary(c *caller.Caller, n int) {
+	probe := uuid.NewString()
+	s.keep("summary", probe, c.Completion(s.model, "summarise study "+strconv.Itoa(n)+" "+probe, summaryTokens, true, probe), false)
+}
+
+// booking is a call that may not be repeated; every third carries a key and is sent again through another entry.
+func (s *show) booking(c *caller.Caller, n int) {
+	probe := uuid.NewString()
+	key := ""
+	if n%3 == 0 {
+		key = "booking-" + probe
+	}
+	body := []byte(`{"review":"` + probe + `"}`)
+	s.keep("booking", probe, c.Plain("POST", s.plain, "/reviews?ms=5", body, probe, key), true)
+	if key == "" {
+		return
+	}
+	again := *c
+	again.Entry = s.d.Entries[(n+1)%len(s.d.Entries)].Listen
+	s.keep("booking (repeat)", probe, again.Plain("POST", s.plain, "/reviews?ms=5", body, probe, key), true)
+}
+
+func (s *show) keep(class, probe string, r caller.Result, once bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.results[class] = append(s.results[class], r)
+	if once && s.probes[probe] != caller.Whole {
+		s.probes[probe] = r.Verdict
+	}
+}
+
+func (s *show) killAgent() string {
+	id := s.model + "-03"
+	a := s.d.Agents[id]
+	a.Kill()
+	go func() {
+		time.Sleep(restartAfter)
+		_ = a.Restart()
+	}()
+	return "killed the agent of " + id + "; its supervisor restarts it after " + restartAfter.String()
+}
+
+func (s *show) leave() string {
+	id := s.plain + "-01"
+	s.d.SetLeaving(id, true)
+	return "the instance list says that " + id + " is leaving"
+}
+
+func (s *show) retarget() string {
+	cl := s.d.Plan.Configuration.Classes[0]
+	op := s.d.Operator(1)
+	doc, err := op.Config()
+	if err != nil {
+		return "target not changed: " + err.Error()
+	}
+	cl.Target.Within = setup.Duration{Duration: newTarget}
+	reply, err := op.Change(entry.ChangeRequest{
+		ID:   uuid.NewString(),
+		Base: doc.Revision,
+		Who:  "demo",
+		Ops: []config.Op{{
+			Kind:   config.OpSetTarget,
+			Name:   cl.Name,
+			Target: &cl.Target,
+		}},
+	})
+	if err != nil {
+		return "target not changed: " + err.Error()
+	}
+	return fmt.Sprintf("an operator set the target of %s to %s: accepted as revision %d", cl.Name, newTarget, reply.Revision)
+}
+
+// report prints the table and returns true when nothing was lost, doubled, cut or wrong.
+func (s *show) report() bool {
+	fmt.Println()
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "CLASS\tSENT\tWHOLE\tNOT RUN\tUNKNOWN\tLOST\tCUT\tWRONG\tP50\tP95\tP99\tTARGET")
+	ok := true
+	for _, class := range lo.Uniq(append([]string{"lookup", "summary", "booking"}, lo.Keys(s.results)...)) {
+		ok = s.row(w, class) && ok
+	}
+	_ = w.Flush()
+	doubled := s.doubled()
+	fmt.Printf("\nruns doubled or run though refused as not run: %d\n", doubled)
+	for name, g := range s.d.Groups {
+		fmt.Printf("group %s: %d steps, %d of them on more than one expert map\n", name, g.Step(), g.Violations())
+		ok = ok && g.Violations() == 0
+	}
+	return ok && doubled == 0
+}
+
+func (s *show) row(w *tabwriter.Writer, class string) bool {
+	rs := s.results[class]
+	count := lo.CountValuesBy(rs, func(r caller.Result) caller.Verdict { return r.Verdict })
+	took := lo.FilterMap(rs, func(r caller.Result, _ int) (time.Duration, bool) {
+		if r.First > 0 {
+			return r.First, r.Verdict == caller.Whole
+		}
+		return r.Took, r.Verdict == caller.Whole
+	})
+	sort.Slice(took, func(i, j int) bool { return took[i] < took[j] })
+	fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%s\n", class, len(rs), count[caller.Whole], count[caller.NotRun], count[caller.Unknown],
+		count[caller.Lost]+count[caller.Refused], count[caller.Cut], count[caller.Wrong], quantile(took, 0.5), quantile(took, 0.95), quantile(took, 0.99), s.target(class))
+	for _, r := range rs {
+		if r.Verdict == caller.Lost || r.Verdict == caller.Cut || r.Verdict == caller.Wrong || r.Verdict == caller.Refused {
+			fmt.Fprintf(os.Stderr, "%s: %s: %s\n", class, r.Verdict, r.Detail)
+		}
+	}
+	return count[caller.Lost]+count[caller.Cut]+count[caller.Wrong]+count[caller.Refused] == 0
+}
+
+func (s *show) target(class string) string {
+	for _, c := range s.d.Plan.Configuration.Classes {
+		if c.Name == class || class == "booking" && c.Match.Label == "" && lo.Contains(c.Match.Services, s.plain) {
+			return fmt.Sprintf("%v%% %s in %s", c.Target.Percent, c.Target.Measure, c.Target.Within)
+		}
+	}
+	return "-"
+}
+
+func quantile(sorted []time.Duration, q float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[int(q*float64(len(sorted)-1))].Round(100 * time.Microsecond)
+}
+
+// doubled counts the operations that ran more than once, or at all after a refusal that said not run.
+func (s *show) doubled() int {
+	n := 0
+	for probe, verdict := range s.probes {
+		runs := s.d.Runs.Runs(probe)
+		if runs > 1 || runs > 0 && verdict == caller.NotRun || runs == 0 && verdict == caller.Whole {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/cmd/geraniumpass/doc.go
@@ -0,0 +1,2 @@
+// Command geraniumpass runs the roles of the system and the operator's commands.
+package main
--- /dev/null
+++ b/cmd/geraniumpass/main.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"geraniumpass/oper"
+	"geraniumpass/start"
+)
+
+func main() {
+	app := kingpin.New("geraniumpass", "Load balancer for expert-parallel model groups.")
+	app.HelpFlag.Short('h')
+	registerRoles(app)
+	oper.Register(app)
+	if _, err := app.Parse(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func registerRoles(app *kingpin.Application) {
+	entry := app.Command("entry", "Run an entry.")
+	entryFile := entry.Flag("config", "Settings in JSON with comments.").Required().String()
+	entry.Action(func(*kingpin.ParseContext) error { return start.Entry(*entryFile) })
+
+	agent := app.Command("agent", "Run the agent of one upstream instance.")
+	agentFile := agent.Flag("config", "Settings in JSON with comments.").Required().String()
+	agent.Action(func(*kingpin.ParseContext) error { return start.Agent(*agentFile) })
+
+	check := app.Command("check", "Validate a settings file and do nothing else.")
+	checkFile := check.Arg("file", "Settings of an entry or an agent.").Required().String()
+	check.Action(func(*kingpin.ParseContext) error {
+		role, err := start.Check(*checkFile)
+		if err == nil {
+			fmt.Printf("%s is a valid settings file of the role %s\n", *checkFile, role)
+		}
+		return err
+	})
+}
--- /dev/null
+++ b/core/doc.go
@@ -0,0 +1,2 @@
+// Package core holds the data types that every other package shares.
+package core
--- /dev/null
+++ b/core/instance.go
@@ -0,0 +1,23 @@
+package core
+
+// Kind tells what an upstream runs.
+type Kind string
+
+// KindModel is a model engine.
+const KindModel Kind = "model"
+
+// KindPlain is a plain service.
+const KindPlain Kind = "plain"
+
+// KindEntry is an entry of this system itself, listed so that peers find it.
+const KindEntry Kind = "entry"
+
+// Instance is one row of the platform's instance list.
+type Instance struct {
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	Kind    Kind   `json:"kind"`
+	Domain  string `json:"domain"`
+	Address string `json:"address"`
+	Leaving bool   `json:"leaving"`
+}
--- /dev/null
+++ b/deploy/ready.go
@@ -0,0 +1,116 @@
+package deploy
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+
+	"geraniumpass/config"
+	"geraniumpass/entry"
+	"geraniumpass/oper"
+	"geraniumpass/place"
+	"geraniumpass/stand"
+)
+
+// TimeoutError says what did not come about in time.
+type TimeoutError struct {
+	What string
+}
+
+// Error returns what was waited for.
+func (e *TimeoutError) Error() string {
+	return "timed out waiting for " + e.What
+}
+
+// Until polls a condition and fails with a *TimeoutError after limit.
+func Until(what string, limit time.Duration, condition func() bool) error {
+	end := time.Now().Add(limit)
+	for !condition() {
+		if time.Now().After(end) {
+			return &TimeoutError{What: what}
+		}
+		time.Sleep(pollTime)
+	}
+	return nil
+}
+
+func (d *Deployment) waitEntries(path string) error {
+	for _, p := range d.Entries {
+		if err := d.WaitEntry(p, path); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WaitEntry waits until an entry answers 200 on a path of its control address.
+func (d *Deployment) WaitEntry(p *Process, path string) error {
+	return Until(p.ID+" "+path, readyTime, func() bool {
+		status, _, err := fasthttp.GetTimeout(nil, "http://"+p.Control+path, time.Second)
+		return err == nil && status == fasthttp.StatusOK
+	})
+}
+
+// waitLinks waits until every entry can use every upstream.
+func (d *Deployment) waitLinks() error {
+	for i := range d.Entries {
+		if err := d.WaitUsable(i, len(d.Agents)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WaitUsable waits until an entry can use n upstreams.
+func (d *Deployment) WaitUsable(i, n int) error {
+	return Until(fmt.Sprintf("%s to use %d upstreams", d.Entries[i].ID, n), readyTime, func() bool {
+		s, err := d.Operator(i).Status()
+		if err != nil {
+			return false
+		}
+		usable := 0
+		for _, u := range s.Upstreams {
+			if u.Usable {
+				usable++
+			}
+		}
+		return usable >= n
+	})
+}
+
+// Configure applies the plan's configuration through the first entry.
+func (d *Deployment) Configure() error {
+	file := d.Plan.Configuration
+	for name, key := range d.Plan.Keys {
+		file.Accounts = append(file.Accounts, config.Account{
+			Name:      name,
+			KeySHA256: []string{oper.HashKey(key)},
+		})
+	}
+	_, err := d.Operator(0).Change(entry.ChangeRequest{
+		ID:  uuid.NewString(),
+		Who: "plan",
+		Ops: oper.Ops(&config.Document{}, file),
+	})
+	return err
+}
+
+// startGroup starts the rank group of a service, if it has one.
+func (d *Deployment) startGroup(s Service) (*stand.Group, error) {
+	if s.Group == "" {
+		return nil, nil
+	}
+	first, err := place.Even(s.Experts, s.Servers, s.Slots).Encode()
+	if err != nil {
+		return nil, err
+	}
+	popularity := make([]float64, s.Experts)
+	for i := range popularity {
+		popularity[i] = 100
+	}
+	g := stand.NewGroup(s.Servers, first, popularity, s.StepTime.Duration, engineRate, s.ChecksFence)
+	d.Groups[s.Group] = g
+	return g, nil
+}
--- /dev/null
+++ b/entry/finish.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"errors"
+
+	"geraniumpass/config"
+	"geraniumpass/core"
+	"geraniumpass/meter"
+)
+
+// finish counts a request that has got its final answer and logs it in one line.
+func (e *Entry) finish(r *request, err error) {
+	now := e.clock.Now()
+	took := now.Sub(r.started)
+	measured := took
+	if r.class.Target.Measure == config.MeasureFirstToken && !r.answered.IsZero() {
+		measured = r.answered.Sub(r.started)
+	}
+	result := meter.ResultWhole
+	var refusal *core.Refusal
+	var gone *goneError
+	switch {
+	case errors.As(err, &refusal) && refusal.Outcome == core.OutcomeNotRun:
+		result = meter.ResultNotRun
+	case errors.As(err, &refusal):
+		result = meter.ResultUnknown
+	case errors.As(err, &gone):
+		result = meter.ResultGone
+	}
+	e.meter.Observe(meter.Sample{
+		Class:  r.class.Name,
+		Domain: r.domain,
+		Result: result,
+		Took:   measured,
+		OnTime: result == meter.ResultWhole && measured <= r.class.Target.Within.Duration,
+	})
+	if err != nil {
+		e.log.Info("request ended", "request", r.id, "account", r.account, "class", r.class.Name, "result", result, "took", took, "error", err)
+		return
+	}
+	e.log.Debug("request ended", "request", r.id, "account", r.account, "class", r.class.Name, "result", result, "took", took)
+}
--- /dev/null
+++ b/entry/operator.go
@@ -0,0 +1,144 @@
+package entry
+
+import (
+	"context"
+	"crypto/subtle"
+	"errors"
+	"expvar"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/gofiber/fiber/v3/middleware/adaptor"
+
+	"geraniumpass/config"
+	"geraniumpass/setup"
+	"geraniumpass/store"
+	"geraniumpass/wire"
+)
+
+const (
+	operatorBase  = "/operator"
+	changeTimeout = 10 * time.Second
+)
+
+// ChangeRequest is an operator's change against a revision; ID makes a repeat of it harmless.
+type ChangeRequest struct {
+	ID   string      `json:"id" validate:"required,max=128"`
+	Base uint64      `json:"base"`
+	Who  string      `json:"who" validate:"required,max=128"`
+	Note string      `json:"note" validate:"max=1024"`
+	Ops  []config.Op `json:"ops" validate:"min=1,dive"`
+}
+
+// ChangeReply tells what became of a change; exactly one of its parts besides the revision is set when it was not accepted.
+type ChangeReply struct {
+	Accepted bool                `json:"accepted"`
+	Revision uint64              `json:"revision"`
+	Unsure   bool                `json:"unsure,omitempty"`
+	Detail   string              `json:"detail,omitempty"`
+	Findings []*setup.ValueError `json:"findings,omitempty"`
+	Others   []config.Record     `json:"others,omitempty"`
+}
+
+func (e *Entry) controlRoutes() *fiber.App {
+	app := fiber.New(fiber.Config{
+		AppName:   "geraniumpass control",
+		BodyLimit: 1 << 20,
+	})
+	app.Get("/livez", func(c fiber.Ctx) error { return c.SendString("ok") })
+	app.Get("/readyz", e.ready)
+	app.Get("/debug/vars", adaptor.HTTPHandler(expvar.Handler()))
+	app.Get("/link", func(c fiber.Ctx) error {
+		return wire.Accept(c.RequestCtx(), e.self, []byte(e.cfg.LinkKey), e.mates.accept)
+	})
+	op := app.Group(operatorBase, e.operatorOnly)
+	op.Get("/config", func(c fiber.Ctx) error { return c.JSON(e.config.Document()) })
+	op.Get("/audit", e.audit)
+	op.Get("/status", func(c fiber.Ctx) error { return c.JSON(e.status()) })
+	op.Post("/change", e.takeChange)
+	return app
+}
+
+func (e *Entry) operatorOnly(c fiber.Ctx) error {
+	token, _ := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), "Bearer ")
+	if subtle.ConstantTimeCompare([]byte(token), []byte(e.cfg.OperatorKey)) != 1 {
+		return c.Status(fiber.StatusUnauthorized).JSON(ChangeReply{Detail: "the operator key is wrong"})
+	}
+	return c.Next()
+}
+
+func (e *Entry) audit(c fiber.Ctx) error {
+	first, err := strconv.ParseUint(c.Query("since", "1"), 10, 64)
+	if err != nil {
+		return c.Status(fiber.StatusBadRequest).JSON(ChangeReply{Detail: "since must be a revision number"})
+	}
+	records, err := e.change.audit(c.Context(), first)
+	if err != nil {
+		return c.Status(fiber.StatusServiceUnavailable).JSON(ChangeReply{Detail: err.Error()})
+	}
+	return c.JSON(records)
+}
+
+func (e *Entry) takeChange(c fiber.Ctx) error {
+	var req ChangeRequest
+	if err := setup.Parse("change", c.Body(), &req); err != nil {
+		return c.Status(fiber.StatusBadRequest).JSON(changeError(err))
+	}
+	ctx, cancel := context.WithTimeout(e.ctx, changeTimeout)
+	defer cancel()
+	doc, err := e.change.change(ctx, req.Base, config.Record{
+		ID:   req.ID,
+		Who:  req.Who,
+		Note: req.Note,
+		Ops:  req.Ops,
+	})
+	if err != nil {
+		e.log.Info("change not accepted", "change", req.ID, "who", req.Who, "error", err)
+		return c.Status(changeStatus(err)).JSON(changeError(err))
+	}
+	e.log.Info("change accepted", "change", req.ID, "who", req.Who, "revision", doc.Revision)
+	return c.JSON(ChangeReply{
+		Accepted: true,
+		Revision: doc.Revision,
+	})
+}
+
+func changeStatus(err error) int {
+	var lost *config.ConflictError
+	var invalid *config.InvalidError
+	var unsure *config.UnsureError
+	switch {
+	case errors.As(err, &lost):
+		return fiber.StatusConflict
+	case errors.As(err, &invalid):
+		return fiber.StatusUnprocessableEntity
+	case errors.As(err, &unsure):
+		return fiber.StatusGatewayTimeout
+	}
+	return fiber.StatusServiceUnavailable
+}
+
+func changeError(err error) ChangeReply {
+	reply := ChangeReply{Detail: err.Error()}
+	var lost *config.ConflictError
+	var invalid *config.InvalidError
+	var unsure *config.UnsureError
+	var report *setup.Report
+	var down *store.DownError
+	switch {
+	case errors.As(err, &lost):
+		reply.Revision = lost.Current
+		reply.Others = lost.Others
+	case errors.As(err, &invalid):
+		reply.Findings = invalid.Findings
+	case errors.As(err, &report):
+		reply.Findings = report.Findings
+	case errors.As(err, &unsure):
+		reply.Unsure = true
+	case errors.As(err, &down):
+		reply.Detail = "not accepted: " + err.Error()
+	}
+	return reply
+}
--- /dev/null
+++ b/entry/peer.go
@@ -0,0 +1,338 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"geraniumpass/check"
+	"geraniumpass/config"
+	"geraniumpass/core"
+	"geraniumpass/proto"
+	"geraniumpass/route"
+	"geraniumpass/wire"
+)
+
+const (
+	heartbeatEvery = 500 * time.Millisecond
+	watchEvery     = 100 * time.Millisecond
+	// staleAfter is the silence after which an agent gets no new work.
+	staleAfter = 1500 * time.Millisecond
+	// repeatAfter is how long a link may be down before what may be repeated goes elsewhere.
+	repeatAfter = 300 * time.Millisecond
+	// resumePatience is how long what may not be repeated waits for its agent to come back.
+	resumePatience = 10 * time.Second
+	dialMin        = 20 * time.Millisecond
+	dialMax        = time.Second
+)
+
+// peer is this entry's side of one agent: the link, the attempts open there and the latest report.
+type peer struct {
+	e      *Entry
+	cancel context.CancelFunc
+
+	mu          sync.Mutex
+	instance    core.Instance
+	link        *wire.Link
+	incarnation uint64
+	attempts    map[uint64]*attempt
+	nextN       uint64
+	report      *proto.Report
+	reportAt    time.Time
+	own         float64
+	ownAtReport float64
+	downSince   time.Time
+	drainSent   bool
+}
+
+func newPeer(e *Entry, in core.Instance) *peer {
+	ctx, cancel := context.WithCancel(e.ctx)
+	p := &peer{
+		e:         e,
+		cancel:    cancel,
+		instance:  in,
+		attempts:  make(map[uint64]*attempt),
+		nextN:     1,
+		downSince: e.clock.Now(),
+	}
+	e.loops.Go(func() { p.dialLoop(ctx) })
+	e.loops.Go(func() { p.watchLoop(ctx) })
+	return p
+}
+
+func (p *peer) dialLoop(ctx context.Context) {
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval = dialMin
+	wait.MaxInterval = dialMax
+	for ctx.Err() == nil {
+		l, err := wire.Dial(p.address(), p.e.self, []byte(p.e.cfg.LinkKey))
+		if err == nil {
+			wait.Reset()
+			p.connected(l)
+			stop := context.AfterFunc(ctx, l.Close)
+			err = l.Receive(p.receive)
+			stop()
+			p.disconnected(l)
+		}
+		p.e.log.Debug("agent link down", "agent", p.instance.ID, "error", err)
+		select {
+		case <-ctx.Done():
+		case <-p.e.clock.After(wait.NextBackOff()):
+		}
+	}
+}
+
+func (p *peer) address() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.instance.Address
+}
+
+// connected resumes what is open on the agent's present incarnation and gives up what was open on an earlier one.
+func (p *peer) connected(l *wire.Link) {
+	p.mu.Lock()
+	old := p.incarnation
+	p.link = l
+	p.incarnation = l.Peer.Incarnation
+	if old != p.incarnation {
+		p.report = nil
+		p.drainSent = false
+	}
+	open := p.open()
+	p.mu.Unlock()
+	p.e.log.Debug("agent link up", "agent", p.instance.ID, "resumed", len(open))
+	_ = l.Send(&proto.Frame{Heartbeat: p.heartbeat()})
+	for _, a := range open {
+		if old != l.Peer.Incarnation {
+			a.lose()
+			continue
+		}
+		_ = l.Send(&proto.Frame{Resume: &proto.Resume{
+			N:    a.n,
+			Next: a.next(),
+		}})
+	}
+}
+
+func (p *peer) disconnected(l *wire.Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.link == l {
+		p.link = nil
+		p.downSince = p.e.clock.Now()
+	}
+}
+
+func (p *peer) open() []*attempt {
+	out := make([]*attempt, 0, len(p.attempts))
+	for _, a := range p.attempts {
+		out = append(out, a)
+	}
+	return out
+}
+
+func (p *peer) watchLoop(ctx context.Context) {
+	t := p.e.clock.NewTicker(watchEvery)
+	defer t.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.Chan():
+		}
+		p.checkSilence()
+		if i%int(heartbeatEvery/watchEvery) == 0 {
+			p.beat()
+		}
+	}
+}
+
+func (p *peer) beat() {
+	p.mu.Lock()
+	l := p.link
+	p.mu.Unlock()
+	if l == nil {
+		return
+	}
+	_ = l.Send(&proto.Frame{Heartbeat: p.heartbeat()})
+	p.sendDrain(l)
+}
+
+func (p *peer) heartbeat() *proto.Heartbeat {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	floor := p.nextN
+	for n := range p.attempts {
+		floor = min(floor, n)
+	}
+	return &proto.Heartbeat{
+		Floor:    floor,
+		Revision: p.e.config.Document().Revision,
+		Leaving:  p.instance.Leaving,
+	}
+}
+
+// checkSilence gives up the attempts of an agent that is silent: soon what may be repeated, later all.
+func (p *peer) checkSilence() {
+	p.mu.Lock()
+	var silence time.Duration
+	if p.link == nil {
+		silence = p.e.clock.Since(p.downSince) + staleAfter - repeatAfter
+	} else {
+		silence = p.link.Silence()
+	}
+	open := p.open()
+	p.mu.Unlock()
+	if silence < staleAfter {
+		return
+	}
+	for _, a := range open {
+		if a.idempotent || silence > resumePatience {
+			a.lose()
+		}
+	}
+}
+
+func (p *peer) receive(f *proto.Frame) {
+	switch {
+	case f.Answer != nil:
+		if a := p.attempt(f.Answer.N); a != nil {
+			a.accept(f.Answer)
+		}
+	case f.Refused != nil:
+		if a := p.attempt(f.Refused.N); a != nil {
+			a.refuse(f.Refused)
+		}
+	case f.Report != nil:
+		p.takeReport(f.Report)
+	case f.OrderReply != nil:
+		p.e.groups.reply(p.instance.ID, f.OrderReply)
+	case f.Config != nil:
+		if err := config.Take(p.e.config, f.Config); err != nil {
+			p.e.log.Warn("configuration not taken", "agent", p.instance.ID, "error", err)
+		}
+	case f.ConfigAsk != nil:
+		p.mu.Lock()
+		l := p.link
+		p.mu.Unlock()
+		if l != nil {
+			config.Answer(p.e.config, l, f.ConfigAsk)
+		}
+	}
+}
+
+func (p *peer) takeReport(r *proto.Report) {
+	p.mu.Lock()
+	p.report = r
+	p.reportAt = p.e.clock.Now()
+	p.ownAtReport = p.own
+	l := p.link
+	p.mu.Unlock()
+	if have := p.e.config.Document().Revision; r.Revision > have && l != nil {
+		_ = l.Send(&proto.Frame{ConfigAsk: &proto.ConfigAsk{Have: have}})
+	}
+}
+
+func (p *peer) attempt(n uint64) *attempt {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.attempts[n]
+}
+
+// send opens an attempt and dispatches it; it returns nil when there is no link to send it on.
+func (p *peer) send(d *proto.Dispatch) *attempt {
+	p.mu.Lock()
+	if p.link == nil {
+		p.mu.Unlock()
+		return nil
+	}
+	d.N = p.nextN
+	if d.Incarnation == 0 {
+		d.Incarnation = p.incarnation
+	}
+	p.nextN++
+	a := newAttempt(d.N, p, d)
+	p.attempts[d.N] = a
+	p.own += d.Cost
+	l := p.link
+	p.mu.Unlock()
+	_ = l.Send(&proto.Frame{Dispatch: d})
+	return a
+}
+
+// close forgets an attempt; with cancel the agent is told that nobody wants it any more.
+func (p *peer) close(a *attempt, cancel bool) {
+	p.mu.Lock()
+	if _, ok := p.attempts[a.n]; ok {
+		delete(p.attempts, a.n)
+		p.own -= a.cost
+	}
+	l := p.link
+	p.mu.Unlock()
+	if cancel && l != nil {
+		_ = l.Send(&proto.Frame{Cancel: &proto.Cancel{N: a.n}})
+	}
+}
+
+func (p *peer) ack(a *attempt, next uint32) {
+	p.mu.Lock()
+	l := p.link
+	p.mu.Unlock()
+	if l != nil {
+		_ = l.Send(&proto.Frame{Ack: &proto.Ack{
+			N:    a.n,
+			Next: next,
+		}})
+	}
+}
+
+// usable returns true when the agent may be given new work.
+func (p *peer) usable(drained map[string]bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.link != nil && p.report != nil && p.report.Healthy && !p.report.Leaving &&
+		!p.instance.Leaving && !drained[p.instance.ID] && p.link.Silence() < staleAfter
+}
+
+func (p *peer) candidate(withins map[string]time.Duration) route.Candidate {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := route.Candidate{
+		ID:         p.instance.ID,
+		Domain:     p.instance.Domain,
+		Running:    p.report.RunningCost,
+		Drain:      p.report.Drain,
+		Unreported: p.own - p.ownAtReport,
+		Own:        p.own,
+		Age:        p.e.clock.Since(p.reportAt),
+	}
+	for _, q := range p.report.Queued {
+		c.Queued = append(c.Queued, route.ClassCost{
+			Within: withins[q.Class],
+			Cost:   q.Cost,
+		})
+	}
+	return c
+}
+
+func (p *peer) sendDrain(l *wire.Link) {
+	doc := p.e.config.Document()
+	p.mu.Lock()
+	wanted := !p.drainSent && slices.Contains(doc.Drained, p.instance.ID)
+	p.drainSent = p.drainSent || wanted
+	p.mu.Unlock()
+	if wanted {
+		_ = l.Send(&proto.Frame{Drain: &proto.Drain{Who: "operator"}})
+	}
+}
+
+// update takes a new row of the instance list; leaving is never taken back while the agent's incarnation lasts.
+func (p *peer) update(in core.Instance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	check.Hold(check.LeavingIdle, in.ID == p.instance.ID, "row of %s given to %s", in.ID, p.instance.ID)
+	p.instance = in
+}
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,133 @@
+package entry
+
+import (
+	"sort"
+
+	"geraniumpass/core"
+	"geraniumpass/meter"
+)
+
+// Status is what an operator sees of one entry and of what it is linked to.
+type Status struct {
+	Entry     string            `json:"entry"`
+	Domain    string            `json:"domain"`
+	Revision  uint64            `json:"revision"`
+	AgeMillis int64             `json:"age_ms"`
+	Stopping  bool              `json:"stopping"`
+	InFlight  int64             `json:"in_flight"`
+	Upstreams []UpstreamStatus  `json:"upstreams"`
+	Classes   []ClassStatus     `json:"classes"`
+	Groups    []GroupStatus     `json:"groups"`
+	Entries   map[string]uint64 `json:"entries"`
+}
+
+// UpstreamStatus is one upstream as this entry sees it.
+type UpstreamStatus struct {
+	ID       string    `json:"id"`
+	Service  string    `json:"service"`
+	Kind     core.Kind `json:"kind"`
+	Domain   string    `json:"domain"`
+	Linked   bool      `json:"linked"`
+	Usable   bool      `json:"usable"`
+	Leaving  bool      `json:"leaving"`
+	Healthy  bool      `json:"healthy"`
+	Running  int       `json:"running"`
+	Limit    int       `json:"limit"`
+	Queued   float64   `json:"queued_cost"`
+	Drain    float64   `json:"drain_per_second"`
+	Revision uint64    `json:"revision"`
+}
+
+// ClassStatus is one class with its target and whether the last minute met it.
+type ClassStatus struct {
+	Class   string      `json:"class"`
+	Measure string      `json:"measure"`
+	Within  string      `json:"within"`
+	Percent float64     `json:"percent"`
+	Met     bool        `json:"met"`
+	Rows    []meter.Row `json:"rows"`
+}
+
+// GroupStatus is a rank group as far as this entry leads it.
+type GroupStatus struct {
+	Group   string  `json:"group"`
+	Leading bool    `json:"leading"`
+	Phase   string  `json:"phase"`
+	Version uint64  `json:"version"`
+	Skew    float64 `json:"skew"`
+	Moves   int     `json:"moves_last_hour"`
+}
+
+func (e *Entry) status() Status {
+	doc := e.config.Document()
+	s := Status{
+		Entry:     e.cfg.ID,
+		Domain:    e.cfg.Domain,
+		Revision:  doc.Revision,
+		AgeMillis: e.config.Age().Milliseconds(),
+		Stopping:  e.stopping.Load(),
+		InFlight:  e.open.Load(),
+		Entries:   e.mates.revisions(),
+		Groups:    e.groups.status(),
+	}
+	drained := make(map[string]bool, len(doc.Drained))
+	for _, id := range doc.Drained {
+		drained[id] = true
+	}
+	for _, p := range e.peers.list() {
+		s.Upstreams = append(s.Upstreams, p.status(drained))
+	}
+	sort.Slice(s.Upstreams, func(i, j int) bool { return s.Upstreams[i].ID < s.Upstreams[j].ID })
+	rows := e.meter.Rows()
+	for _, c := range doc.Classes {
+		s.Classes = append(s.Classes, classStatus(c.Name, string(c.Target.Measure), c.Target.Within.String(), c.Target.Percent, rows))
+	}
+	return s
+}
+
+func classStatus(name, measure, within string, percent float64, rows []meter.Row) ClassStatus {
+	s := ClassStatus{
+		Class:   name,
+		Measure: measure,
+		Within:  within,
+		Percent: percent,
+	}
+	all, onTime := 0.0, 0.0
+	for _, r := range rows {
+		if r.Class == name {
+			s.Rows = append(s.Rows, r)
+			all += float64(r.Recent)
+			onTime += float64(r.Recent) * r.OnTimeShare
+		}
+	}
+	s.Met = all == 0 || onTime/all*100 >= percent
+	return s
+}
+
+func (p *peer) status(drained map[string]bool) UpstreamStatus {
+	usable := p.usable(drained)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := UpstreamStatus{
+		ID:      p.instance.ID,
+		Service: p.instance.Service,
+		Kind:    p.instance.Kind,
+		Domain:  p.instance.Domain,
+		Linked:  p.link != nil,
+		Usable:  usable,
+		Leaving: p.instance.Leaving,
+	}
+	if p.report == nil {
+		return s
+	}
+	s.Leaving = s.Leaving || p.report.Leaving
+	s.Healthy = p.report.Healthy
+	s.Running = p.report.Running
+	s.Limit = p.report.Limit
+	s.Drain = p.report.Drain
+	s.Revision = p.report.Revision
+	for _, q := range p.report.Queued {
+		s.Queued += q.Cost
+	}
+	return s
+}
--- /dev/null
+++ b/ledger/key.go
@@ -0,0 +1,20 @@
+package ledger
+
+import "strconv"
+
+// Session names one incarnation of an entry.
+type Session struct {
+	Entry       string
+	Incarnation uint64
+}
+
+// Key names one attempt: the entry's session and its attempt number.
+type Key struct {
+	Session Session
+	N       uint64
+}
+
+// String returns the key in the form that logs show.
+func (k Key) String() string {
+	return k.Session.Entry + "/" + strconv.FormatUint(k.Session.Incarnation, 36) + "/" + strconv.FormatUint(k.N, 10)
+}
--- /dev/null
+++ b/oper/client.go
@@ -0,0 +1,83 @@
+package oper
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/zeebo/errs/v2"
+
+	"geraniumpass/config"
+	"geraniumpass/entry"
+)
+
+const callTimeout = 15 * time.Second
+
+// Client speaks to one entry's operator interface.
+type Client struct {
+	Address string
+	Key     string
+}
+
+// CallError is an answer that is not a success.
+type CallError struct {
+	Status int
+	Reply  entry.ChangeReply
+}
+
+// Error returns what the entry said.
+func (e *CallError) Error() string {
+	return fmt.Sprintf("%s (HTTP %d)", e.Reply.Detail, e.Status)
+}
+
+// Config returns the configuration that the entry holds.
+func (c *Client) Config() (*config.Document, error) {
+	doc := &config.Document{}
+	return doc, c.call(fasthttp.MethodGet, "/operator/config", nil, doc)
+}
+
+// Status returns what the entry sees.
+func (c *Client) Status() (*entry.Status, error) {
+	s := &entry.Status{}
+	return s, c.call(fasthttp.MethodGet, "/operator/status", nil, s)
+}
+
+// Audit returns the records of changes from a revision on.
+func (c *Client) Audit(since uint64) ([]config.Record, error) {
+	var records []config.Record
+	return records, c.call(fasthttp.MethodGet, fmt.Sprintf("/operator/audit?since=%d", since), nil, &records)
+}
+
+// Change makes a change and fails with a *CallError when it was not accepted.
+func (c *Client) Change(req entry.ChangeRequest) (entry.ChangeReply, error) {
+	var reply entry.ChangeReply
+	return reply, c.call(fasthttp.MethodPost, "/operator/change", req, &reply)
+}
+
+func (c *Client) call(method, path string, in, out any) error {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + c.Address + path)
+	req.Header.SetMethod(method)
+	req.Header.Set("Authorization", "Bearer "+c.Key)
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return errs.Wrap(err)
+		}
+		req.SetBody(b)
+	}
+	if err := fasthttp.DoTimeout(req, resp, callTimeout); err != nil {
+		return errs.Wrap(err)
+	}
+	if resp.StatusCode() == fasthttp.StatusOK {
+		return errs.Wrap(json.Unmarshal(resp.Body(), out))
+	}
+	failed := &CallError{Status: resp.StatusCode()}
+	if err := json.Unmarshal(resp.Body(), &failed.Reply); err != nil {
+		failed.Reply.Detail = string(resp.Body())
+	}
+	return failed
+}
--- /dev/null
+++ b/place/placement.go
@@ -0,0 +1,114 @@
+package place
+
+import (
+	"slices"
+
+	"geraniumpass/proto"
+)
+
+// Placement lists for each expert the ranks that hold a copy; an expert's tokens are spread evenly over its copies.
+type Placement struct {
+	Ranks   int     `cbor:"1,keyasint"`
+	Slots   int     `cbor:"2,keyasint"`
+	Experts [][]int `cbor:"3,keyasint"`
+}
+
+// Encode returns the placement in the form in which orders carry it.
+func (p *Placement) Encode() ([]byte, error) {
+	return proto.Marshal(p)
+}
+
+// Decode reads an encoded placement.
+func Decode(b []byte) (*Placement, error) {
+	p := &Placement{}
+	return p, proto.Unmarshal(b, p)
+}
+
+// Clone returns a copy that shares nothing.
+func (p *Placement) Clone() *Placement {
+	c := &Placement{
+		Ranks:   p.Ranks,
+		Slots:   p.Slots,
+		Experts: make([][]int, len(p.Experts)),
+	}
+	for e, holders := range p.Experts {
+		c.Experts[e] = slices.Clone(holders)
+	}
+	return c
+}
+
+// Loads returns the load of each rank when the experts draw the given loads.
+func (p *Placement) Loads(load []float64) []float64 {
+	out := make([]float64, p.Ranks)
+	for e, holders := range p.Experts {
+		for _, r := range holders {
+			out[r] += load[e] / float64(len(holders))
+		}
+	}
+	return out
+}
+
+// Skew returns how far the most loaded rank lies above the mean, as a share of the mean.
+func (p *Placement) Skew(load []float64) float64 {
+	loads := p.Loads(load)
+	sum := 0.0
+	for _, l := range loads {
+		sum += l
+	}
+	if sum <= 0 {
+		return 0
+	}
+	return slices.Max(loads)*float64(p.Ranks)/sum - 1
+}
+
+// Spread returns the distance between the most and the least loaded rank, as a share of the mean.
+func (p *Placement) Spread(load []float64) float64 {
+	loads := p.Loads(load)
+	sum := 0.0
+	for _, l := range loads {
+		sum += l
+	}
+	if sum <= 0 {
+		return 0
+	}
+	return (slices.Max(loads) - slices.Min(loads)) * float64(p.Ranks) / sum
+}
+
+// Copies returns how many expert copies ranks must load to go from p to next; with rank of -1 it counts all ranks.
+func (p *Placement) Copies(next *Placement, rank int) int {
+	n := 0
+	for e, holders := range next.Experts {
+		for _, r := range holders {
+			if (rank < 0 || r == rank) && !slices.Contains(p.Experts[e], r) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Valid returns true when every expert has a copy, no rank holds two of one expert, and none holds more than its slots.
+func (p *Placement) Valid() bool {
+	held := make([]int, p.Ranks)
+	for _, holders := range p.Experts {
+		if len(holders) == 0 {
+			return false
+		}
+		for i, r := range holders {
+			if r < 0 || r >= p.Ranks || slices.Contains(holders[:i], r) {
+				return false
+			}
+			held[r]++
+		}
+	}
+	return slices.Max(held) <= p.Slots
+}
+
+// Even returns the placement that gives every expert the same number of copies, as far as the slots allow.
+func Even(experts, ranks, slots int) *Placement {
+	flat := make([]float64, experts)
+	for i := range flat {
+		flat[i] = 1
+	}
+	return Full(flat, ranks, slots)
+}
--- /dev/null
+++ b/proto/control.go
@@ -0,0 +1,44 @@
+package proto
+
+// ClassLoad is what waits in an agent's queue for one class.
+type ClassLoad struct {
+	Class string  `cbor:"1,keyasint"`
+	Cost  float64 `cbor:"2,keyasint"`
+	N     int     `cbor:"3,keyasint"`
+}
+
+// Report is an agent's view of its upstream, sent on every change of note and on each heartbeat.
+type Report struct {
+	Running     int         `cbor:"1,keyasint"`
+	Limit       int         `cbor:"2,keyasint"`
+	Queued      []ClassLoad `cbor:"3,keyasint,omitempty"`
+	Drain       float64     `cbor:"4,keyasint"`
+	Leaving     bool        `cbor:"5,keyasint,omitempty"`
+	Healthy     bool        `cbor:"6,keyasint"`
+	RunningCost float64     `cbor:"7,keyasint"`
+	Revision    uint64      `cbor:"8,keyasint,omitempty"`
+}
+
+// Heartbeat is sent by the dialling side; Floor is the lowest attempt number still open, below which the agent may forget.
+type Heartbeat struct {
+	Floor    uint64 `cbor:"1,keyasint"`
+	Revision uint64 `cbor:"2,keyasint,omitempty"`
+	Leaving  bool   `cbor:"3,keyasint,omitempty"`
+}
+
+// Drain orders an agent to leave.
+type Drain struct {
+	Who string `cbor:"1,keyasint"`
+}
+
+// Config carries records of the configuration, or the whole document when the gap is too wide.
+type Config struct {
+	Revision uint64 `cbor:"1,keyasint"`
+	Document []byte `cbor:"2,keyasint,omitempty"`
+	Records  []byte `cbor:"3,keyasint,omitempty"`
+}
+
+// ConfigAsk asks for everything accepted after revision Have.
+type ConfigAsk struct {
+	Have uint64 `cbor:"1,keyasint"`
+}
--- /dev/null
+++ b/proto/doc.go
@@ -0,0 +1,2 @@
+// Package proto defines the messages between this system's own processes as plain data.
+package proto
--- /dev/null
+++ b/proto/frame.go
@@ -0,0 +1,18 @@
+package proto
+
+// Frame is one message on a link; exactly one field is set.
+type Frame struct {
+	Dispatch   *Dispatch   `cbor:"1,keyasint,omitempty"`
+	Cancel     *Cancel     `cbor:"2,keyasint,omitempty"`
+	Answer     *Answer     `cbor:"3,keyasint,omitempty"`
+	Ack        *Ack        `cbor:"4,keyasint,omitempty"`
+	Resume     *Resume     `cbor:"5,keyasint,omitempty"`
+	Refused    *Refused    `cbor:"6,keyasint,omitempty"`
+	Report     *Report     `cbor:"7,keyasint,omitempty"`
+	Heartbeat  *Heartbeat  `cbor:"8,keyasint,omitempty"`
+	Drain      *Drain      `cbor:"9,keyasint,omitempty"`
+	Order      *Order      `cbor:"10,keyasint,omitempty"`
+	OrderReply *OrderReply `cbor:"11,keyasint,omitempty"`
+	Config     *Config     `cbor:"12,keyasint,omitempty"`
+	ConfigAsk  *ConfigAsk  `cbor:"13,keyasint,omitempty"`
+}
--- /dev/null
+++ b/queue/class.go
@@ -0,0 +1,135 @@
+package queue
+
+import "time"
+
+// classQueue holds one class's items by account; served is each account's virtual time in cost units.
+type classQueue struct {
+	name     string
+	accounts map[string]*accountQueue
+	n        int
+	cost     float64
+	clock    float64
+}
+
+type accountQueue struct {
+	name   string
+	items  []Item
+	cost   float64
+	served float64
+}
+
+func newClassQueue(name string) *classQueue {
+	return &classQueue{
+		name:     name,
+		accounts: make(map[string]*accountQueue),
+	}
+}
+
+func (c *classQueue) push(it Item) {
+	a, ok := c.accounts[it.Account]
+	if !ok {
+		a = &accountQueue{
+			name:   it.Account,
+			served: c.clock,
+		}
+		c.accounts[it.Account] = a
+	}
+	a.served = max(a.served, c.clock)
+	a.items = append(a.items, it)
+	a.cost += it.Cost
+	c.n++
+	c.cost += it.Cost
+}
+
+// pop takes the oldest item of the account served least, so that accounts share the class evenly.
+func (c *classQueue) pop() Item {
+	var best *accountQueue
+	for _, a := range c.accounts {
+		if best == nil || a.served < best.served || a.served == best.served && a.name < best.name {
+			best = a
+		}
+	}
+	c.clock = best.served
+	it := best.items[0]
+	best.items = best.items[1:]
+	best.served += it.Cost
+	c.removed(best, it)
+	return it
+}
+
+// shed drops the newest item of the account that holds the most; it is the arriving item itself when its own account does.
+func (c *classQueue) shed(arrived Item) (Item, bool) {
+	worst := c.accounts[arrived.Account]
+	for _, a := range c.accounts {
+		if a.cost > worst.cost+arrived.Cost || a.cost > worst.cost && worst.name != arrived.Account {
+			worst = a
+		}
+	}
+	if worst == nil || len(worst.items) == 0 {
+		return Item{}, false
+	}
+	last := len(worst.items) - 1
+	it := worst.items[last]
+	worst.items = worst.items[:last]
+	c.removed(worst, it)
+	return it, true
+}
+
+func (c *classQueue) take(match func(Item) bool) []Item {
+	var out []Item
+	for _, a := range c.accounts {
+		kept := a.items[:0:0]
+		var gone []Item
+		for _, it := range a.items {
+			if match(it) {
+				gone = append(gone, it)
+			} else {
+				kept = append(kept, it)
+			}
+		}
+		a.items = kept
+		for _, it := range gone {
+			c.removed(a, it)
+		}
+		out = append(out, gone...)
+	}
+	return out
+}
+
+func (c *classQueue) removed(a *accountQueue, it Item) {
+	a.cost -= it.Cost
+	c.cost -= it.Cost
+	c.n--
+	if len(a.items) == 0 {
+		delete(c.accounts, a.name)
+	}
+	if c.n == 0 {
+		c.cost = 0
+	}
+}
+
+func (c *classQueue) earliest() (time.Time, bool) {
+	var due time.Time
+	found := false
+	for _, a := range c.accounts {
+		if d := a.items[0].Due; !found || d.Before(due) {
+			due, found = d, true
+		}
+	}
+	return due, found
+}
+
+func (c *classQueue) ahead(due time.Time) float64 {
+	if c.n == 0 {
+		return 0
+	}
+	sum := 0.0
+	for _, a := range c.accounts {
+		for _, it := range a.items {
+			if !it.Due.After(due) {
+				sum += it.Cost
+			}
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/setup/walk.go
@@ -0,0 +1,154 @@
+package setup
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"sort"
+	"strings"
+
+	"github.com/samber/lo"
+)
+
+// walk compares parsed JSON with the type that is to hold it, so that all wrong names and kinds are found, not the first.
+func walk(path string, got any, want reflect.Type) []*ValueError {
+	if reflect.PointerTo(want).Implements(reflect.TypeFor[json.Unmarshaler]()) {
+		return custom(path, got, want)
+	}
+	switch want.Kind() {
+	case reflect.Pointer:
+		return walk(path, got, want.Elem())
+	case reflect.Struct:
+		return object(path, got, want)
+	case reflect.Slice:
+		return list(path, got, want)
+	case reflect.Map:
+		return table(path, got, want)
+	}
+	return scalar(path, got, want)
+}
+
+func custom(path string, got any, want reflect.Type) []*ValueError {
+	b, err := json.Marshal(got)
+	if err != nil {
+		return nil
+	}
+	err = json.Unmarshal(b, reflect.New(want).Interface())
+	if err == nil {
+		return nil
+	}
+	v, ok := err.(*ValueError)
+	if !ok {
+		v = &ValueError{
+			Got:  string(b),
+			Want: err.Error(),
+		}
+	}
+	v.Path = path
+	return []*ValueError{v}
+}
+
+func object(path string, got any, want reflect.Type) []*ValueError {
+	m, ok := got.(map[string]any)
+	if !ok {
+		return mismatch(path, got, "an object")
+	}
+	fields := make(map[string]reflect.Type)
+	for i := range want.NumField() {
+		name, _, _ := strings.Cut(want.Field(i).Tag.Get("json"), ",")
+		if name != "" && name != "-" {
+			fields[name] = want.Field(i).Type
+		}
+	}
+	var out []*ValueError
+	for _, name := range sortedKeys(m) {
+		t, known := fields[name]
+		if !known {
+			names := lo.Keys(fields)
+			sort.Strings(names)
+			out = append(out, &ValueError{
+				Path: join(path, name),
+				Got:  "an unknown field",
+				Want: "one of " + strings.Join(names, ", "),
+			})
+			continue
+		}
+		out = append(out, walk(join(path, name), m[name], t)...)
+	}
+	return out
+}
+
+func list(path string, got any, want reflect.Type) []*ValueError {
+	items, ok := got.([]any)
+	if !ok {
+		if got == nil {
+			return nil
+		}
+		return mismatch(path, got, "a list")
+	}
+	var out []*ValueError
+	for i, item := range items {
+		out = append(out, walk(fmt.Sprintf("%s[%d]", path, i), item, want.Elem())...)
+	}
+	return out
+}
+
+func table(path string, got any, want reflect.Type) []*ValueError {
+	m, ok := got.(map[string]any)
+	if !ok {
+		if got == nil {
+			return nil
+		}
+		return mismatch(path, got, "an object")
+	}
+	var out []*ValueError
+	for _, name := range sortedKeys(m) {
+		out = append(out, walk(join(path, name), m[name], want.Elem())...)
+	}
+	return out
+}
+
+func scalar(path string, got any, want reflect.Type) []*ValueError {
+	b, err := json.Marshal(got)
+	if err != nil {
+		return nil
+	}
+	if got != nil && json.Unmarshal(b, reflect.New(want).Interface()) == nil {
+		return nil
+	}
+	return mismatch(path, got, kindName(want))
+}
+
+func mismatch(path string, got any, want string) []*ValueError {
+	b, _ := json.Marshal(got)
+	return []*ValueError{{
+		Path: path,
+		Got:  string(b),
+		Want: want,
+	}}
+}
+
+func kindName(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float64:
+		return "a number"
+	}
+	return "a whole number"
+}
+
+func sortedKeys(m map[string]any) []string {
+	keys := lo.Keys(m)
+	sort.Strings(keys)
+	return keys
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
--- /dev/null
+++ b/stand/engine.go
@@ -0,0 +1,187 @@
+package stand
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"geraniumpass/core"
+)
+
+// HeaderResume tells an engine how many tokens of the stream are already delivered.
+const HeaderResume = "X-Resume-From"
+
+// batchKnee is the number of concurrent streams beyond which each further one slows a step down.
+const batchKnee = 16
+
+// Engine is a model engine: its tokens depend only on the prompt, so that a caller can check every byte.
+type Engine struct {
+	Server *Server
+	Runs   *Counter
+
+	model     string
+	stepTime  time.Duration
+	running   atomic.Int64
+	generated atomic.Int64
+	rank      *Rank
+	done      chan struct{}
+
+	mu        sync.Mutex
+	leaving   bool
+	cancelled map[string]time.Time
+}
+
+// NewEngine returns an engine for address that makes a token each stepTime while it is not crowded.
+func NewEngine(address, model string, stepTime time.Duration, runs *Counter) *Engine {
+	e := &Engine{
+		Runs:      runs,
+		model:     model,
+		stepTime:  stepTime,
+		done:      make(chan struct{}),
+		cancelled: make(map[string]time.Time),
+	}
+	e.Server = NewServer(address, e.handle)
+	return e
+}
+
+// Close ends the engine for good.
+func (e *Engine) Close() {
+	close(e.done)
+	e.Server.Stop()
+}
+
+// SetRank makes the engine a rank of a group.
+func (e *Engine) SetRank(r *Rank) {
+	e.rank = r
+}
+
+// SetLeaving makes the engine say of itself that it leaves.
+func (e *Engine) SetLeaving(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = leaving
+}
+
+// Running returns the number of streams in progress.
+func (e *Engine) Running() int64 {
+	return e.running.Load()
+}
+
+// Generated returns the number of tokens made so far.
+func (e *Engine) Generated() int64 {
+	return e.generated.Load()
+}
+
+type completion struct {
+	Model     string        `json:"model"`
+	Prompt    string        `json:"prompt"`
+	Messages  []core.Prompt `json:"messages"`
+	MaxTokens int           `json:"max_tokens"`
+	Stream    bool          `json:"stream"`
+}
+
+func (c *completion) prompt() string {
+	if len(c.Messages) > 0 {
+		return c.Messages[len(c.Messages)-1].Content
+	}
+	return c.Prompt
+}
+
+type cancelRequest struct {
+	ID string `json:"id"`
+}
+
+func (e *Engine) handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/health":
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		write(ctx, Health{Leaving: e.leaving})
+	case "/v1/cancel":
+		var req cancelRequest
+		if read(ctx, &req) {
+			e.mu.Lock()
+			e.cancelled[req.ID] = time.Now()
+			e.mu.Unlock()
+		}
+	case "/rank":
+		e.handleRank(ctx)
+	case "/v1/completions", "/v1/chat/completions":
+		e.complete(ctx)
+	default:
+		ctx.NotFound()
+	}
+}
+
+func (e *Engine) complete(ctx *fasthttp.RequestCtx) {
+	var req completion
+	if !read(ctx, &req) {
+		return
+	}
+	if req.MaxTokens <= 0 {
+		req.MaxTokens = 16
+	}
+	e.Runs.Add(string(ctx.Request.Header.Peek(HeaderProbe)))
+	id := string(ctx.Request.Header.Peek("X-Request-Id"))
+	from, _ := strconv.Atoi(string(ctx.Request.Header.Peek(HeaderResume)))
+	chat := string(ctx.Path()) == "/v1/chat/completions"
+	if !req.Stream {
+		e.running.Add(1)
+		defer e.running.Add(-1)
+		for range req.MaxTokens {
+			if !e.step(id) {
+				ctx.Error("cancelled", fasthttp.StatusServiceUnavailable)
+				return
+			}
+		}
+		write(ctx, whole(id, req, chat))
+		return
+	}
+	ctx.SetContentType("text/event-stream")
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		e.running.Add(1)
+		defer e.running.Add(-1)
+		e.stream(w, id, req, from, chat)
+	})
+}
+
+func (e *Engine) stream(w *bufio.Writer, id string, req completion, from int, chat bool) {
+	for i := from; i < req.MaxTokens; i++ {
+		if !e.step(id) {
+			return
+		}
+		b, _ := json.Marshal(part(id, req, Token(req.prompt(), i), chat))
+		_, _ = fmt.Fprintf(w, "data: %s\n\n", b)
+		if w.Flush() != nil {
+			return
+		}
+	}
+	_, _ = w.WriteString("data: [DONE]\n\n")
+	_ = w.Flush()
+}
+
+// step waits for one token's time and returns false when the stream was cancelled or the engine closed.
+func (e *Engine) step(id string) bool {
+	d := e.stepTime
+	if n := e.running.Load(); n > batchKnee {
+		d = d * time.Duration(n) / batchKnee
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-e.done:
+		return false
+	}
+	e.generated.Add(1)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, gone := e.cancelled[id]
+	return !gone
+}
--- /dev/null
+++ b/stand/list.go
@@ -0,0 +1,67 @@
+package stand
+
+import (
+	"sync"
+
+	"github.com/valyala/fasthttp"
+
+	"geraniumpass/core"
+)
+
+// List is the platform's instance list; GET /instances returns its rows.
+type List struct {
+	Server *Server
+
+	mu    sync.Mutex
+	rows  []core.Instance
+	shown []core.Instance
+	fault Fault
+}
+
+// NewList returns a list for address with the given rows.
+func NewList(address string, rows []core.Instance) *List {
+	l := &List{rows: rows}
+	l.Server = NewServer(address, l.handle)
+	return l
+}
+
+// SetFault changes how the list misbehaves.
+func (l *List) SetFault(f Fault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if f.Stale && !l.fault.Stale {
+		l.shown = append([]core.Instance{}, l.rows...)
+	}
+	l.fault = f
+}
+
+// SetLeaving marks one instance.
+func (l *List) SetLeaving(id string, leaving bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range l.rows {
+		if l.rows[i].ID == id {
+			l.rows[i].Leaving = leaving
+		}
+	}
+}
+
+// Add puts one more instance on the list.
+func (l *List) Add(row core.Instance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rows = append(l.rows, row)
+}
+
+func (l *List) handle(ctx *fasthttp.RequestCtx) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case l.fault.Down:
+		ctx.Error("unavailable", fasthttp.StatusServiceUnavailable)
+	case l.fault.Stale:
+		write(ctx, l.shown)
+	default:
+		write(ctx, l.rows)
+	}
+}
--- /dev/null
+++ b/stand/text.go
@@ -0,0 +1,23 @@
+package stand
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Token returns the token that every engine stand-in generates at place i after a prompt.
+func Token(prompt string, i int) string {
+	h := xxhash.Sum64String(prompt + "#" + strconv.Itoa(i))
+	return " " + strconv.FormatUint(h%46656, 36)
+}
+
+// Text returns the first n tokens after a prompt in one string.
+func Text(prompt string, n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(Token(prompt, i))
+	}
+	return b.String()
+}
