Keep answers on the working link and what a stream needs out of reused memory

A link that an entry opened to a seed, only to exchange the configuration, was taken by the agent for the entry's newest working link; answers went there and were dropped. Such links now have the role 'exchange'. Ruled out: lost frames, the ledger (the agent's log shows the attempts starting). A streamed request outlives its HTTP handler, and its path was a view of memory that the HTTP library had reused by the time the stream was resumed elsewhere; the other engine answered 404 and its body was spliced into the stream. Strings are now copied, and an answer with another status is never spliced in. TestStreamsSurviveAgentKilled fails without the copy. 3. The race detector showed the writer of an accepted link using the connection after the server had taken it back. Accept now waits for the writer. The race detector showed an instance's row being replaced while requests read it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -52,7 +52,6 @@
 	runningCost float64
 
 	leaving    atomic.Bool
-	stopping   atomic.Bool
 	healthy    atomic.Bool
 	lastAsk    atomic.Int64
 	leftAt     atomic.Int64
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -32,8 +32,11 @@
 
 // serve reads one entry's link until it ends.
 func (a *Agent) serve(l *wire.Link) {
-	a.sessions.add(l)
-	defer a.sessions.remove(l)
+	// A link that only exchanges the configuration must not take the answers that belong to the entry's working link.
+	if l.Peer.Role != wire.RoleExchange {
+		a.sessions.add(l)
+		defer a.sessions.remove(l)
+	}
 	a.log.Debug("link opened", "entry", l.Peer.ID)
 	err := l.Receive(func(f *proto.Frame) { a.receive(l, f) })
 	a.log.Debug("link ended", "entry", l.Peer.ID, "error", err)
--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -19,23 +19,25 @@
 	plan := app.Flag("plan", "Deployment to run.").Default("examples/reverbline.json").ExistingFile()
 	lasts := app.Flag("lasts", "How long callers send.").Default("10s").Duration()
 	keep := app.Flag("keep", "Leave the deployment up until interrupted.").Envar("KEEP").Bool()
+	logs := app.Flag("logs", "Folder that keeps the settings and logs of every process; a temporary one when left out.").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
-	if err := run(*binary, *plan, *lasts, *keep); err != nil {
+	if err := run(*binary, *plan, *logs, *lasts, *keep); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-func run(binary, file string, lasts time.Duration, keep bool) error {
+func run(binary, file, dir string, lasts time.Duration, keep bool) error {
 	plan, err := deploy.Load(file)
 	if err != nil {
 		return err
 	}
-	dir, err := os.MkdirTemp("", "geraniumpass-demo-")
-	if err != nil {
-		return errs.Wrap(err)
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "geraniumpass-demo-"); err != nil {
+			return errs.Wrap(err)
+		}
+		defer func() { _ = os.RemoveAll(dir) }()
 	}
-	defer os.RemoveAll(dir)
 	fmt.Printf("starting %s: %d entries in %d failure domains\n", plan.Name, plan.Entries, len(plan.Domains))
 	started := time.Now()
 	d, err := deploy.Start(plan, deploy.Options{
--- a/cmd/demo/show.go
+++ b/cmd/demo/show.go
@@ -41,7 +41,6 @@
 	mu      sync.Mutex
 	results map[string][]caller.Result
 	probes  map[string]caller.Verdict
-	notes   []string
 }
 
 func newShow(d *deploy.Deployment) *show {
--- a/config/apply.go
+++ b/config/apply.go
@@ -45,21 +45,21 @@
 	case OpSetClass:
 		return d.setClass(op.Class)
 	case OpRemoveClass:
-		return removed(".name", op.Name, d.removeClass(op.Name))
+		return removed(op.Name, d.removeClass(op.Name))
 	case OpSetTarget:
 		return d.setTarget(op.Name, op.Target)
 	case OpSetAccount:
 		return d.setAccount(op.Account)
 	case OpRemoveAccount:
-		return removed(".name", op.Name, d.removeAccount(op.Name))
+		return removed(op.Name, d.removeAccount(op.Name))
 	case OpSetGroup:
 		return d.setGroup(op.Group)
 	case OpRemoveGroup:
-		return removed(".name", op.Name, d.removeGroup(op.Name))
+		return removed(op.Name, d.removeGroup(op.Name))
 	case OpDrain:
 		return d.drain(op.Name)
 	case OpUndrain:
-		return removed(".name", op.Name, d.undrain(op.Name))
+		return removed(op.Name, d.undrain(op.Name))
 	}
 	return &setup.ValueError{
 		Path: ".kind",
@@ -76,12 +76,12 @@
 	}
 }
 
-func removed(path, name string, found bool) *setup.ValueError {
+func removed(name string, found bool) *setup.ValueError {
 	if found {
 		return nil
 	}
 	return &setup.ValueError{
-		Path: path,
+		Path: ".name",
 		Got:  fmt.Sprintf("%q", name),
 		Want: "the name of one that is there",
 	}
@@ -114,7 +114,7 @@
 	if ok {
 		d.Classes[i].Target = *t
 	}
-	return removed(".name", class, ok)
+	return removed(class, ok)
 }
 
 func (d *Document) setAccount(a *Account) *setup.ValueError {
--- a/deploy/deployment.go
+++ b/deploy/deployment.go
@@ -389,6 +389,6 @@
 	if err != nil {
 		return "", errs.Wrap(err)
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	address := ln.Addr().String()
+	return address, errs.Wrap(ln.Close())
 }
--- a/deploy/process.go
+++ b/deploy/process.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return errs.Wrap(err)
 	}
-	defer log.Close()
+	defer func() { _ = log.Close() }()
 	p.cmd = exec.Command(p.binary, p.Role, "--config", p.file)
 	p.cmd.Stdout = log
 	p.cmd.Stderr = log
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -34,12 +34,13 @@
 
 func (e *Entry) callerRoutes() *fiber.App {
 	app := fiber.New(fiber.Config{
-		AppName:           "geraniumpass entry",
-		BodyLimit:         e.cfg.MaxBody,
-		ReadBufferSize:    headerBytes,
-		ReadTimeout:       readTimeout,
-		ErrorHandler:      callerError,
-		StreamRequestBody: false,
+		AppName:        "geraniumpass entry",
+		BodyLimit:      e.cfg.MaxBody,
+		ReadBufferSize: headerBytes,
+		ReadTimeout:    readTimeout,
+		ErrorHandler:   callerError,
+		// A streamed request outlives its handler, so that what is read of it must not be reused.
+		Immutable: true,
 	})
 	app.Get("/livez", func(c fiber.Ctx) error { return c.SendString("ok") })
 	app.Get("/readyz", e.ready)
@@ -138,7 +139,7 @@
 	}
 	r.path = plainPath(string(c.Request().RequestURI()), r.service)
 	r.idempotent = idempotent(c.Method())
-	r.key = strings.Clone(c.Get(headerKey))
+	r.key = c.Get(headerKey)
 	if len(r.key) > maxKeyLength {
 		return e.refuse(c, r, core.NotRun(core.ReasonBadRequest, fmt.Sprintf("%s is longer than %d characters", headerKey, maxKeyLength)))
 	}
@@ -168,8 +169,8 @@
 func (e *Entry) begin(c fiber.Ctx) (*request, error) {
 	now := e.clock.Now()
 	r := &request{
-		id:       strings.Clone(c.Get(headerRequestID)),
-		method:   strings.Clone(c.Method()),
+		id:       c.Get(headerRequestID),
+		method:   c.Method(),
 		started:  now,
 		deadline: now.Add(e.cfg.DefaultDeadline.Duration),
 		tried:    make(map[string]bool),
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -196,7 +196,7 @@
 	}
 	p.mu.Lock()
 	h := home{
-		Agent:       p.instance.ID,
+		Agent:       p.id,
 		Incarnation: p.incarnation,
 		Digest:      digest(r),
 		Nonce:       random().Uint64(),
--- a/entry/mates.go
+++ b/entry/mates.go
@@ -80,7 +80,9 @@
 		return
 	}
 	m.e.loops.Go(func() {
-		l, err := wire.Dial(address, m.e.self, []byte(m.e.cfg.LinkKey))
+		self := m.e.self
+		self.Role = wire.RoleExchange
+		l, err := wire.Dial(address, self, []byte(m.e.cfg.LinkKey))
 		if err == nil {
 			m.set(address, l)
 			stop := context.AfterFunc(ctx, l.Close)
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -46,6 +46,7 @@
 	app := fiber.New(fiber.Config{
 		AppName:   "geraniumpass control",
 		BodyLimit: 1 << 20,
+		Immutable: true,
 	})
 	app.Get("/livez", func(c fiber.Ctx) error { return c.SendString("ok") })
 	app.Get("/readyz", e.ready)
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -8,7 +8,6 @@
 
 	"github.com/cenkalti/backoff/v5"
 
-	"geraniumpass/check"
 	"geraniumpass/config"
 	"geraniumpass/core"
 	"geraniumpass/proto"
@@ -25,17 +24,22 @@
 	repeatAfter = 300 * time.Millisecond
 	// resumePatience is how long what may not be repeated waits for its agent to come back.
 	resumePatience = 10 * time.Second
-	dialMin        = 20 * time.Millisecond
-	dialMax        = time.Second
+	dialFirst      = 20 * time.Millisecond
+	dialLongest    = time.Second
 )
 
 // peer is this entry's side of one agent: the link, the attempts open there and the latest report.
 type peer struct {
-	e      *Entry
-	cancel context.CancelFunc
+	e       *Entry
+	cancel  context.CancelFunc
+	id      string
+	service string
+	kind    core.Kind
+	domain  string
 
 	mu          sync.Mutex
-	instance    core.Instance
+	address     string
+	listLeaving bool
 	link        *wire.Link
 	incarnation uint64
 	attempts    map[uint64]*attempt
@@ -51,12 +55,17 @@
 func newPeer(e *Entry, in core.Instance) *peer {
 	ctx, cancel := context.WithCancel(e.ctx)
 	p := &peer{
-		e:         e,
-		cancel:    cancel,
-		instance:  in,
-		attempts:  make(map[uint64]*attempt),
-		nextN:     1,
-		downSince: e.clock.Now(),
+		e:           e,
+		cancel:      cancel,
+		id:          in.ID,
+		service:     in.Service,
+		kind:        in.Kind,
+		domain:      in.Domain,
+		address:     in.Address,
+		listLeaving: in.Leaving,
+		attempts:    make(map[uint64]*attempt),
+		nextN:       1,
+		downSince:   e.clock.Now(),
 	}
 	e.loops.Go(func() { p.dialLoop(ctx) })
 	e.loops.Go(func() { p.watchLoop(ctx) })
@@ -65,10 +74,10 @@
 
 func (p *peer) dialLoop(ctx context.Context) {
 	wait := backoff.NewExponentialBackOff()
-	wait.InitialInterval = dialMin
-	wait.MaxInterval = dialMax
+	wait.InitialInterval = dialFirst
+	wait.MaxInterval = dialLongest
 	for ctx.Err() == nil {
-		l, err := wire.Dial(p.address(), p.e.self, []byte(p.e.cfg.LinkKey))
+		l, err := wire.Dial(p.dialAddress(), p.e.self, []byte(p.e.cfg.LinkKey))
 		if err == nil {
 			wait.Reset()
 			p.connected(l)
@@ -77,7 +86,7 @@
 			stop()
 			p.disconnected(l)
 		}
-		p.e.log.Debug("agent link down", "agent", p.instance.ID, "error", err)
+		p.e.log.Debug("agent link down", "agent", p.id, "error", err)
 		select {
 		case <-ctx.Done():
 		case <-p.e.clock.After(wait.NextBackOff()):
@@ -85,10 +94,10 @@
 	}
 }
 
-func (p *peer) address() string {
+func (p *peer) dialAddress() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.instance.Address
+	return p.address
 }
 
 // connected resumes what is open on the agent's present incarnation and gives up what was open on an earlier one.
@@ -103,7 +112,7 @@
 	}
 	open := p.open()
 	p.mu.Unlock()
-	p.e.log.Debug("agent link up", "agent", p.instance.ID, "resumed", len(open))
+	p.e.log.Debug("agent link up", "agent", p.id, "resumed", len(open))
 	_ = l.Send(&proto.Frame{Heartbeat: p.heartbeat()})
 	for _, a := range open {
 		if old != l.Peer.Incarnation {
@@ -171,7 +180,7 @@
 	return &proto.Heartbeat{
 		Floor:    floor,
 		Revision: p.e.config.Document().Revision,
-		Leaving:  p.instance.Leaving,
+		Leaving:  p.listLeaving,
 	}
 }
 
@@ -209,10 +218,10 @@
 	case f.Report != nil:
 		p.takeReport(f.Report)
 	case f.OrderReply != nil:
-		p.e.groups.reply(p.instance.ID, f.OrderReply)
+		p.e.groups.reply(p.id, f.OrderReply)
 	case f.Config != nil:
 		if err := config.Take(p.e.config, f.Config); err != nil {
-			p.e.log.Warn("configuration not taken", "agent", p.instance.ID, "error", err)
+			p.e.log.Warn("configuration not taken", "agent", p.id, "error", err)
 		}
 	case f.ConfigAsk != nil:
 		p.mu.Lock()
@@ -294,15 +303,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.link != nil && p.report != nil && p.report.Healthy && !p.report.Leaving &&
-		!p.instance.Leaving && !drained[p.instance.ID] && p.link.Silence() < staleAfter
+		!p.listLeaving && !drained[p.id] && p.link.Silence() < staleAfter
 }
 
 func (p *peer) candidate(withins map[string]time.Duration) route.Candidate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c := route.Candidate{
-		ID:         p.instance.ID,
-		Domain:     p.instance.Domain,
+		ID:         p.id,
+		Domain:     p.domain,
 		Running:    p.report.RunningCost,
 		Drain:      p.report.Drain,
 		Unreported: p.own - p.ownAtReport,
@@ -321,7 +330,7 @@
 func (p *peer) sendDrain(l *wire.Link) {
 	doc := p.e.config.Document()
 	p.mu.Lock()
-	wanted := !p.drainSent && slices.Contains(doc.Drained, p.instance.ID)
+	wanted := !p.drainSent && slices.Contains(doc.Drained, p.id)
 	p.drainSent = p.drainSent || wanted
 	p.mu.Unlock()
 	if wanted {
@@ -329,10 +338,10 @@
 	}
 }
 
-// update takes a new row of the instance list; leaving is never taken back while the agent's incarnation lasts.
+// update takes a new row of the instance list.
 func (p *peer) update(in core.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	check.Hold(check.LeavingIdle, in.ID == p.instance.ID, "row of %s given to %s", in.ID, p.instance.ID)
-	p.instance = in
+	p.address = in.Address
+	p.listLeaving = in.Leaving
 }
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -114,14 +114,14 @@
 }
 
 func (ps *peers) add(p *peer) {
-	ps.byID[p.instance.ID] = p
-	ps.services[p.instance.Service] = append(ps.services[p.instance.Service], p)
+	ps.byID[p.id] = p
+	ps.services[p.service] = append(ps.services[p.service], p)
 }
 
 func (ps *peers) drop(p *peer) {
 	p.cancel()
-	delete(ps.byID, p.instance.ID)
-	service := p.instance.Service
+	delete(ps.byID, p.id)
+	service := p.service
 	ps.services[service] = lo.Without(ps.services[service], p)
 }
 
--- a/entry/request.go
+++ b/entry/request.go
@@ -29,6 +29,7 @@
 	// delivered counts the events of a stream that the caller has been given.
 	delivered uint32
 	headSent  bool
+	status    int
 	// tried names the agents that refused or lost the request.
 	tried map[string]bool
 	// sent is true once an attempt left for an agent that did not surely refuse it.
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -16,8 +16,8 @@
 
 const (
 	maxAttempts   = 6
-	retryMin      = 5 * time.Millisecond
-	retryMax      = 200 * time.Millisecond
+	retryFirst    = 5 * time.Millisecond
+	retryLongest  = 200 * time.Millisecond
 	overloadHops  = 2
 	statusTooMany = 429
 	statusBusy    = 503
@@ -54,8 +54,8 @@
 		return e.serveClaimed(r, out)
 	}
 	wait := backoff.NewExponentialBackOff()
-	wait.InitialInterval = retryMin
-	wait.MaxInterval = retryMax
+	wait.InitialInterval = retryFirst
+	wait.MaxInterval = retryLongest
 	hops := 0
 	for try := 1; ; try++ {
 		p, err := e.pick(r)
@@ -82,7 +82,8 @@
 				hops++
 			}
 		}
-		r.tried[p.instance.ID] = true
+		e.log.Debug("attempt failed", "request", r.id, "agent", p.id, "reason", res.reason, "delivered", r.delivered)
+		r.tried[p.id] = true
 		if hops > overloadHops || try >= maxAttempts || !e.budget.Spend(r.class.Name) {
 			return e.giveUp(r, res)
 		}
@@ -114,7 +115,7 @@
 		withins[c.Name] = c.Target.Within.Duration
 	}
 	usable := lo.Filter(e.peers.of(r.service), func(p *peer, _ int) bool { return p.usable(drained) })
-	fresh := lo.Reject(usable, func(p *peer, _ int) bool { return r.tried[p.instance.ID] })
+	fresh := lo.Reject(usable, func(p *peer, _ int) bool { return r.tried[p.id] })
 	if len(fresh) > 0 {
 		usable = fresh
 	}
@@ -152,7 +153,7 @@
 			reason:  core.ReasonNoUpstream,
 		}
 	}
-	r.domain = p.instance.Domain
+	r.domain = p.domain
 	res := e.follow(r, a, out)
 	p.close(a, res.outcome != attemptWhole && res.outcome != attemptNotRun)
 	return res
@@ -255,9 +256,10 @@
 			return &busyError{}
 		}
 		if r.headSent && r.stream {
-			return nil
+			return resumedHead(r, p)
 		}
 		r.headSent = true
+		r.status = p.Status
 		return out.Head(p.Status, p.Headers)
 	}
 	if len(p.Data) == 0 {
@@ -269,6 +271,14 @@
 	return out.Data(p.Data)
 }
 
+// resumedHead refuses to splice an upstream's error into a stream that the caller has begun to read.
+func resumedHead(r *request, p *proto.Answer) error {
+	if p.Status != r.status {
+		return &busyError{}
+	}
+	return nil
+}
+
 func (a *attempt) wholeWith(p *proto.Answer) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/entry/status.go
+++ b/entry/status.go
@@ -109,13 +109,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := UpstreamStatus{
-		ID:      p.instance.ID,
-		Service: p.instance.Service,
-		Kind:    p.instance.Kind,
-		Domain:  p.instance.Domain,
+		ID:      p.id,
+		Service: p.service,
+		Kind:    p.kind,
+		Domain:  p.domain,
 		Linked:  p.link != nil,
 		Usable:  usable,
-		Leaving: p.instance.Leaving,
+		Leaving: p.listLeaving,
 	}
 	if p.report == nil {
 		return s
--- a/entry/sync.go
+++ b/entry/sync.go
@@ -14,9 +14,9 @@
 const (
 	configKey = "geraniumpass/config"
 	// pollEvery is how soon a watch that died without a word is found out.
-	pollEvery = 4 * time.Second
-	syncMin   = 100 * time.Millisecond
-	syncMax   = 2 * time.Second
+	pollEvery   = 4 * time.Second
+	syncFirst   = 100 * time.Millisecond
+	syncLongest = 2 * time.Second
 )
 
 // syncConfig keeps the newest accepted configuration here: by a watch, and by a slow poll that finds a silent watch out.
@@ -36,8 +36,8 @@
 
 func (e *Entry) watchConfig(ctx context.Context) {
 	wait := backoff.NewExponentialBackOff()
-	wait.InitialInterval = syncMin
-	wait.MaxInterval = syncMax
+	wait.InitialInterval = syncFirst
+	wait.MaxInterval = syncLongest
 	for ctx.Err() == nil {
 		v, err := e.readConfig(ctx)
 		if err == nil {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -70,14 +70,14 @@
 // Offer records a dispatch and says what to do with it.
 func (l *Ledger) Offer(o Offer) Verdict {
 	if o.Incarnation != l.incarnation {
-		return refuse(core.OutcomeNotRun, core.ReasonIncarnation)
+		return refuse(core.ReasonIncarnation)
 	}
 	s := l.sessionShard(o.Key.Session)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	ses := s.get(o.Key.Session, l.clock.Now())
 	if o.Key.N < ses.floor {
-		return refuse(core.OutcomeNotRun, core.ReasonStale)
+		return refuse(core.ReasonStale)
 	}
 	if r, ok := ses.records[o.Key.N]; ok {
 		return known(r)
@@ -102,7 +102,7 @@
 // known answers a dispatch whose number is on record: a tombstone refuses it, anything else is a repeated frame.
 func known(r *record) Verdict {
 	if r.state == StateRefused {
-		return refuse(core.OutcomeNotRun, core.ReasonCancelled)
+		return refuse(core.ReasonCancelled)
 	}
 	return Verdict{Action: ActionIgnore}
 }
@@ -121,10 +121,10 @@
 		return Verdict{Action: ActionQueue}
 	}
 	if c.digest != o.ClaimDigest {
-		return refuse(core.OutcomeNotRun, core.ReasonKeyReused)
+		return refuse(core.ReasonKeyReused)
 	}
 	if c.refused {
-		return refuse(core.OutcomeNotRun, core.ReasonClaimMoved)
+		return refuse(core.ReasonClaimMoved)
 	}
 	return Verdict{
 		Action: ActionAttach,
@@ -300,10 +300,10 @@
 	return &l.claims[xxhash.Sum64String(key)%shardCount]
 }
 
-func refuse(outcome core.Outcome, reason core.Reason) Verdict {
+func refuse(reason core.Reason) Verdict {
 	return Verdict{
 		Action:  ActionRefuse,
-		Outcome: outcome,
+		Outcome: core.OutcomeNotRun,
 		Reason:  reason,
 	}
 }
--- /dev/null
+++ b/proof/doc.go
@@ -0,0 +1,2 @@
+// Package proof holds the tests that break a whole deployment of real processes and check what must always hold.
+package proof
--- /dev/null
+++ b/proof/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package proof
+
+const raceFlag = "-race=false"
--- /dev/null
+++ b/proof/whole_test.go
@@ -0,0 +1,106 @@
+package proof
+
+import (
+	"fmt"
+	"testing"
+
+	"geraniumpass/caller"
+	"geraniumpass/deploy"
+	"geraniumpass/stand"
+)
+
+const streamTokens = 60
+
+func stream(d *deploy.Deployment, sender, n int) sent {
+	probe := fmt.Sprintf("stream-%d-%d", sender, n)
+	return sent{
+		probe:  probe,
+		result: user(d, sender+n).Completion(model, "study "+probe, streamTokens, true, probe),
+	}
+}
+
+func TestStreamsSurviveAgentKilled(t *testing.T) {
+	d := launch(t, smallPlan(), deploy.Options{})
+	l := startLoad(12, func(s, n int) sent { return stream(d, s, n) })
+	l.atLeast(t, 12)
+	a := d.Agents[model+"-00"]
+	eventually(t, "streams at the agent", func() bool { return d.Engines[model+"-00"].Running() > 0 })
+	a.Kill()
+	l.atLeast(t, 24)
+	if err := a.Restart(); err != nil {
+		t.Fatal(err)
+	}
+	l.atLeast(t, 24)
+	onlyVerdicts(t, l.end(), caller.Whole)
+}
+
+func TestStreamsSurviveEngineKilled(t *testing.T) {
+	d := launch(t, smallPlan(), deploy.Options{})
+	l := startLoad(12, func(s, n int) sent { return stream(d, s, n) })
+	l.atLeast(t, 12)
+	e := d.Engines[model+"-01"]
+	eventually(t, "streams at the engine", func() bool { return e.Running() > 0 })
+	e.Server.Stop()
+	l.atLeast(t, 24)
+	if err := e.Server.Start(); err != nil {
+		t.Fatal(err)
+	}
+	l.atLeast(t, 24)
+	onlyVerdicts(t, l.end(), caller.Whole)
+}
+
+func TestStreamsSurviveLinksCut(t *testing.T) {
+	breaks := []struct {
+		name string
+		brk  stand.Break
+	}{
+		{name: "cut", brk: stand.Break{Cut: true}},
+		{name: "towards the agent", brk: stand.Break{HoldForward: true}},
+		{name: "towards the entry", brk: stand.Break{HoldBack: true}},
+	}
+	d := launch(t, smallPlan(), deploy.Options{})
+	for _, tt := range breaks {
+		t.Run(tt.name, func(t *testing.T) {
+			l := startLoad(9, func(s, n int) sent { return stream(d, s, n) })
+			l.atLeast(t, 9)
+			for _, domain := range d.Plan.Domains {
+				d.AgentRelays[domain][model+"-02"].Set(tt.brk)
+			}
+			l.atLeast(t, 18)
+			for _, domain := range d.Plan.Domains {
+				d.AgentRelays[domain][model+"-02"].Set(stand.Break{})
+			}
+			l.atLeast(t, 18)
+			onlyVerdicts(t, l.end(), caller.Whole)
+			for i := range d.Entries {
+				if err := d.WaitUsable(i, len(d.Agents)); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+}
+
+func TestAnswersAreOfTheOwnRequest(t *testing.T) {
+	d := launch(t, smallPlan(), deploy.Options{})
+	l := startLoad(16, func(s, n int) sent {
+		probe := fmt.Sprintf("own-%d-%d", s, n)
+		c := user(d, s+n)
+		if s%2 == 1 {
+			c.Key = otherKey
+		}
+		if n%2 == 0 {
+			// Like bodies for all senders: only the probe, a header, tells the answers apart.
+			return sent{
+				probe:  probe,
+				result: c.Plain("POST", plain, "/same?ms=3", []byte("like body"), probe, ""),
+			}
+		}
+		return sent{
+			probe:  probe,
+			result: c.Plain("GET", plain, fmt.Sprintf("/bulk?size=%d", 200_000+n), nil, probe, ""),
+		}
+	})
+	l.atLeast(t, 300)
+	onlyVerdicts(t, l.end(), caller.Whole)
+}
--- a/setup/walk.go
+++ b/setup/walk.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"reflect"
 	"sort"
@@ -37,8 +38,8 @@
 	if err == nil {
 		return nil
 	}
-	v, ok := err.(*ValueError)
-	if !ok {
+	var v *ValueError
+	if !errors.As(err, &v) {
 		v = &ValueError{
 			Got:  string(b),
 			Want: err.Error(),
--- a/stand/rank.go
+++ b/stand/rank.go
@@ -167,11 +167,9 @@
 	step       uint64
 	violations int
 	stalled    time.Duration
-	skew       []float64
-	last       time.Time
 }
 
-// Violation counts the steps in which two ranks used different maps.
+// Violations counts the steps in which two ranks used different maps.
 func (g *Group) Violations() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/stand/server.go
+++ b/stand/server.go
@@ -46,6 +46,7 @@
 	s.server = &fasthttp.Server{
 		Handler:            s.handler,
 		NoDefaultDate:      true,
+		Logger:             quiet{},
 		StreamRequestBody:  false,
 		MaxRequestBodySize: 64 << 20,
 	}
@@ -75,6 +76,12 @@
 	s.ln = nil
 }
 
+// quiet drops the server's words on connections that callers broke, which tests do all the time.
+type quiet struct{}
+
+// Printf implements fasthttp.Logger.
+func (quiet) Printf(string, ...any) {}
+
 type trackedListener struct {
 	net.Listener
 
--- a/wire/hello.go
+++ b/wire/hello.go
@@ -18,6 +18,13 @@
 	handshakeTimeout = 5 * time.Second
 )
 
+// The roles that a link's peer may have; a link of RoleExchange carries only the configuration.
+const (
+	RoleEntry    = "entry"
+	RoleAgent    = "agent"
+	RoleExchange = "exchange"
+)
+
 // Identity names a process and its incarnation, which is drawn anew at every start.
 type Identity struct {
 	ID          string `cbor:"1,keyasint"`
--- a/wire/link.go
+++ b/wire/link.go
@@ -36,10 +36,12 @@
 
 // Link is an authenticated connection to one peer; Send may be called from any goroutine.
 type Link struct {
-	Peer     Identity
-	conn     *websocket.Conn
-	out      chan *proto.Frame
-	done     chan struct{}
+	Peer Identity
+	conn *websocket.Conn
+	out  chan *proto.Frame
+	done chan struct{}
+	// written is closed when the writer has let go of the connection.
+	written  chan struct{}
 	once     sync.Once
 	lastSeen atomic.Int64
 	sent     atomic.Int64
@@ -76,7 +78,11 @@
 		if err != nil {
 			return
 		}
-		defer l.Close()
+		// The server reuses the connection's memory once this returns, so that the writer must have let go of it.
+		defer func() {
+			l.Close()
+			<-l.written
+		}()
 		fn(l)
 	}))
 }
@@ -89,10 +95,11 @@
 		return nil, err
 	}
 	l := &Link{
-		Peer: peer,
-		conn: c,
-		out:  make(chan *proto.Frame, sendQueue),
-		done: make(chan struct{}),
+		Peer:    peer,
+		conn:    c,
+		out:     make(chan *proto.Frame, sendQueue),
+		done:    make(chan struct{}),
+		written: make(chan struct{}),
 	}
 	l.lastSeen.Store(time.Now().UnixNano())
 	go l.write()
@@ -175,6 +182,7 @@
 }
 
 func (l *Link) write() {
+	defer close(l.written)
 	defer l.Close()
 	var buf bytes.Buffer
 	for {
