Switch expert maps by cap and grant, confirmed twice where an agent may have restarted

Mechanism: epmap.Leader and epmap.Guard, driven by entries (lease in the key-value service, its creation revision as fence) and agents. Every rank promises to wait at step N before any rank is told N's map.

A rank that answered the new leader's inquiry and was then restarted had lost the fence; the old leader went on there while the new one took the promises of the others back. The model beside the design has no restarts and could not show it. Change: promises are only taken back after a second inquiry in which every rank still has the incarnation of the first. Ruled out: keeping the fence in the engine (those that ignore fencing can't) and a fence in the key-value service by rank (its rates don't grow with the fleet).

TestOneMapUnderFailures passes with real processes; with the cap taken out of the agent it fails.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -64,6 +64,10 @@
 func (*fakeUpstream) Cancel(string)          {}
 func (*fakeUpstream) Leaving() (bool, error) { return false, nil }
 
+func (*fakeUpstream) Order([]byte) ([]byte, error) {
+	return nil, &LostError{Cause: net.ErrClosed}
+}
+
 // startAgent runs an agent before a fake upstream until the test ends.
 func startAgent(t *testing.T, up Upstream) (*Agent, context.CancelFunc) {
 	t.Helper()
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -100,5 +100,8 @@
 		Leaving:     a.leaving.Load(),
 		Healthy:     a.healthy.Load(),
 		Revision:    a.config.Document().Revision,
+		Group:       a.cfg.Upstream.Group,
+		Rank:        a.cfg.Upstream.Rank,
+		Ranks:       a.cfg.Upstream.Ranks,
 	}
 }
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -33,6 +33,8 @@
 	Cancel(request string)
 	// Leaving asks the upstream whether it is about to leave.
 	Leaving() (bool, error)
+	// Order gives a rank an order for its expert map, in the engine's form, and returns its reply.
+	Order(body []byte) ([]byte, error)
 }
 
 // UnsentError says that nothing of a request reached the upstream.
--- a/deploy/deployment.go
+++ b/deploy/deployment.go
@@ -186,6 +186,7 @@
 			Address:     upstream,
 			Group:       s.Group,
 			Rank:        rank,
+			Ranks:       s.Servers,
 			ChecksFence: s.ChecksFence,
 		},
 		Log: setup.Log{Level: d.Plan.LogLevel},
--- /dev/null
+++ b/entry/grouplead.go
@@ -0,0 +1,406 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs/v2"
+
+	"geraniumpass/config"
+	"geraniumpass/epmap"
+	"geraniumpass/place"
+	"geraniumpass/proto"
+	"geraniumpass/store"
+)
+
+const (
+	leaderPrefix = "geraniumpass/groups/"
+	leaderLease  = 5 * time.Second
+	keepEvery    = 1500 * time.Millisecond
+	seekEvery    = 2 * time.Second
+	inquireEvery = 2 * time.Second
+	resendEvery  = 200 * time.Millisecond
+	stageLimit   = 30 * time.Second
+	capLimit     = 2 * time.Second
+	// lookAhead is the time that a switch is set ahead of the ranks' steps, so that every cap arrives before its step.
+	lookAhead = 150 * time.Millisecond
+	// copyCost is the time that a group is taken to lose for each expert that it loads.
+	copyCost = 10 * time.Millisecond
+	surgeAt  = 0.9
+)
+
+// holderMark is the content of a group's leader key.
+type holderMark struct {
+	Entry       string `json:"entry"`
+	Incarnation uint64 `json:"incarnation"`
+	Nonce       uint64 `json:"nonce"`
+}
+
+// groupLead is this entry's part in the lead of one group.
+type groupLead struct {
+	e    *Entry
+	name string
+
+	mu        sync.Mutex
+	target    config.Group
+	leader    *epmap.Leader
+	balancer  *place.Rebalancer
+	lease     store.Lease
+	kept      time.Time
+	sought    time.Time
+	sentAt    time.Time
+	sentSeq   uint64
+	phaseAt   time.Time
+	phaseSeq  uint64
+	inquired  time.Time
+	lastStep  uint64
+	lastAt    time.Time
+	stepRate  float64
+	agents    []string
+	skew      float64
+	moves     int
+	switching bool
+}
+
+func newGroupLead(e *Entry, g config.Group) *groupLead {
+	return &groupLead{
+		e:        e,
+		name:     g.Name,
+		target:   g,
+		balancer: place.NewRebalancer(placeTarget(g), place.Cost{PerCopy: copyCost}),
+	}
+}
+
+func placeTarget(g config.Group) place.Target {
+	return place.Target{
+		Skew:         g.Skew,
+		MovesPerHour: g.MovesPerHour,
+		HoldInSurge:  g.HoldInSurge,
+	}
+}
+
+func (g *groupLead) retarget(to config.Group) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.target = to
+	g.balancer.SetTarget(placeTarget(to))
+}
+
+// tick takes the lead, keeps it, and drives the switch that is under way.
+func (g *groupLead) tick(ctx context.Context) {
+	now := g.e.clock.Now()
+	g.mu.Lock()
+	leading := g.leader != nil && g.leader.Phase != epmap.PhaseDeposed
+	keep := leading && now.Sub(g.kept) > keepEvery
+	seek := !leading && now.Sub(g.sought) > seekEvery
+	g.mu.Unlock()
+	switch {
+	case keep:
+		g.keep(ctx)
+	case seek:
+		g.seek(ctx)
+	}
+	g.drive(now)
+}
+
+// keep renews the lease; a lapsed one ends the lead, while an outage of the service leaves a switch that is under way to go on.
+func (g *groupLead) keep(ctx context.Context) {
+	err := g.e.store.Keep(ctx, g.lease)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var lapsed *store.LeaseError
+	if errors.As(err, &lapsed) {
+		g.e.log.Info("lead of group lapsed", "group", g.name)
+		g.leader = nil
+		return
+	}
+	if err == nil {
+		g.kept = g.e.clock.Now()
+	}
+}
+
+// seek takes the lead when nobody holds it; the revision at which the key was made is the fencing number.
+func (g *groupLead) seek(ctx context.Context) {
+	g.mu.Lock()
+	g.sought = g.e.clock.Now()
+	g.mu.Unlock()
+	ids := g.ranks()
+	if ids == nil {
+		return
+	}
+	key := leaderPrefix + g.name + "/leader"
+	if v, err := g.e.store.Get(ctx, key); err != nil || v.Modified != 0 {
+		return
+	}
+	lease, err := g.e.store.Grant(ctx, leaderLease)
+	if err != nil {
+		return
+	}
+	fence, err := g.take(ctx, key, lease)
+	if err != nil {
+		_ = g.e.store.Revoke(ctx, lease)
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lease = lease
+	g.kept = g.e.clock.Now()
+	g.agents = ids
+	g.leader = epmap.NewLeader(fence, len(ids))
+	g.e.log.Info("leading group", "group", g.name, "fence", fence, "ranks", len(ids))
+}
+
+// take writes the leader key and returns its revision; a lost answer is settled by reading the key back.
+func (g *groupLead) take(ctx context.Context, key string, lease store.Lease) (uint64, error) {
+	mark := holderMark{
+		Entry:       g.e.cfg.ID,
+		Incarnation: g.e.self.Incarnation,
+		Nonce:       random().Uint64(),
+	}
+	data, err := json.Marshal(mark)
+	if err != nil {
+		return 0, errs.Wrap(err)
+	}
+	v, err := g.e.store.Swap(ctx, key, data, 0, lease)
+	if err == nil {
+		return uint64(v.Created), nil
+	}
+	var unsure *store.UnsureError
+	if !errors.As(err, &unsure) {
+		return 0, err
+	}
+	if v, err = g.e.store.Get(ctx, key); err != nil {
+		return 0, err
+	}
+	var held holderMark
+	if v.Modified == 0 || json.Unmarshal(v.Data, &held) != nil || held != mark {
+		return 0, unsure
+	}
+	return uint64(v.Created), nil
+}
+
+// ranks returns the agents of the group in order of rank, or nil while one of them is not linked.
+func (g *groupLead) ranks() []string {
+	var ids []string
+	found := 0
+	for _, p := range g.e.peers.list() {
+		p.mu.Lock()
+		r := p.report
+		up := p.link != nil
+		p.mu.Unlock()
+		if r == nil || r.Group != g.name || !up || r.Rank >= r.Ranks {
+			continue
+		}
+		if ids == nil {
+			ids = make([]string, r.Ranks)
+		}
+		if r.Rank < len(ids) && ids[r.Rank] == "" {
+			ids[r.Rank] = p.id
+			found++
+		}
+	}
+	if found == 0 || found < len(ids) {
+		return nil
+	}
+	return ids
+}
+
+// drive sends what is open, gives up what takes too long, and starts inquiries and switches.
+func (g *groupLead) drive(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := g.leader
+	if l == nil || l.Phase == epmap.PhaseDeposed {
+		return
+	}
+	if l.Seq != g.phaseSeq {
+		g.phaseSeq, g.phaseAt = l.Seq, now
+	}
+	inPhase := now.Sub(g.phaseAt)
+	if l.Phase == epmap.PhaseStage && inPhase > stageLimit || l.Phase == epmap.PhaseCap && inPhase > capLimit {
+		g.e.log.Warn("switch given up", "group", g.name, "phase", l.Phase)
+		l.Abort()
+	}
+	if l.Phase == epmap.PhaseSteady {
+		g.steady(now)
+	}
+	if l.Seq != g.sentSeq || now.Sub(g.sentAt) > resendEvery {
+		g.sentSeq, g.sentAt = l.Seq, now
+		g.send()
+	}
+}
+
+func (g *groupLead) send() {
+	for rank, id := range g.agents {
+		o := g.leader.Order(rank)
+		if o == nil {
+			continue
+		}
+		p := g.e.peers.reach(id)
+		if p == nil {
+			continue
+		}
+		p.mu.Lock()
+		link := p.link
+		p.mu.Unlock()
+		if link != nil {
+			_ = link.Send(&proto.Frame{Order: o})
+		}
+	}
+}
+
+// reply hands a rank's reply to the leader and goes on at once when that ends a phase.
+func (g *groupLead) reply(agent string, r *proto.OrderReply) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.leader == nil {
+		return
+	}
+	for rank, id := range g.agents {
+		if id != agent {
+			continue
+		}
+		before := g.leader.Phase
+		g.leader.Handle(rank, r)
+		g.phaseChanged(before)
+	}
+}
+
+func (g *groupLead) phaseChanged(before epmap.Phase) {
+	l := g.leader
+	if l.Phase == before {
+		return
+	}
+	if before == epmap.PhaseInquire && l.Phase == epmap.PhaseSteady {
+		g.learn()
+	}
+	if before == epmap.PhaseGrant && l.Phase == epmap.PhaseSteady {
+		g.e.log.Info("map switched", "group", g.name, "version", l.Plan.Version)
+		g.inquired = time.Time{}
+	}
+	if l.Phase == epmap.PhaseDeposed {
+		g.e.log.Info("deposed", "group", g.name)
+		return
+	}
+	if l.Seq != g.sentSeq {
+		g.sentSeq, g.sentAt = l.Seq, g.e.clock.Now()
+		g.send()
+	}
+}
+
+// learn takes in what an inquiry has found: popularity and the pace of the steps.
+func (g *groupLead) learn() {
+	now := g.e.clock.Now()
+	for i := range g.leader.Ranks {
+		s := &g.leader.Ranks[i].State
+		if len(s.Tokens) > 0 {
+			g.balancer.Observe(now, s.Tokens)
+		}
+	}
+	step := g.leader.Ranks[0].State.Step
+	if d := now.Sub(g.lastAt).Seconds(); g.lastStep > 0 && step > g.lastStep && d > 0 {
+		g.stepRate = float64(step-g.lastStep) / d
+	}
+	g.lastStep, g.lastAt = step, now
+	g.inquired = now
+}
+
+// steady decides on a switch after each inquiry, as long as the lease is known to hold.
+func (g *groupLead) steady(now time.Time) {
+	if now.Sub(g.inquired) > inquireEvery {
+		g.switching = false
+		g.leader.Inquire()
+		return
+	}
+	if g.switching || now.Sub(g.kept) > leaderLease {
+		return
+	}
+	g.switching = true
+	current := g.current()
+	if current == nil {
+		return
+	}
+	d := g.balancer.Decide(now, current, g.surge())
+	g.skew = d.Before
+	if d.Verdict != place.VerdictMove {
+		return
+	}
+	encoded, err := d.Placement.Encode()
+	if err != nil {
+		return
+	}
+	g.moves += d.Copies
+	g.e.log.Info("switching map", "group", g.name, "copies", d.Copies, "skew_before", d.Before, "skew_after", d.After)
+	g.leader.Propose(encoded, uint64(g.stepRate*lookAhead.Seconds()))
+}
+
+func (g *groupLead) current() *place.Placement {
+	for i := range g.leader.Ranks {
+		if b := g.leader.Ranks[i].State.Map; len(b) > 0 {
+			p, err := place.Decode(b)
+			if err == nil && p.Ranks == len(g.agents) && p.Valid() {
+				return p
+			}
+		}
+	}
+	return nil
+}
+
+// surge returns true while the ranks' engines are full or work waits before them.
+func (g *groupLead) surge() bool {
+	running, limit := 0, 0
+	for _, id := range g.agents {
+		p := g.e.peers.get(id)
+		if p == nil {
+			continue
+		}
+		p.mu.Lock()
+		if p.report != nil {
+			running += p.report.Running + lenQueued(p.report)
+			limit += p.report.Limit
+		}
+		p.mu.Unlock()
+	}
+	return limit > 0 && float64(running) >= surgeAt*float64(limit)
+}
+
+func lenQueued(r *proto.Report) int {
+	n := 0
+	for _, q := range r.Queued {
+		n += q.N
+	}
+	return n
+}
+
+func (g *groupLead) status() GroupStatus {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := GroupStatus{
+		Group: g.name,
+		Skew:  g.skew,
+		Moves: g.moves,
+	}
+	if g.leader != nil {
+		s.Leading = g.leader.Phase != epmap.PhaseDeposed
+		s.Phase = g.leader.Phase.String()
+		s.Version = g.leader.Version()
+	}
+	return s
+}
+
+// resign gives the lead up on a planned stop, so that another entry takes it at once.
+func (g *groupLead) resign() {
+	g.mu.Lock()
+	leading := g.leader != nil
+	lease := g.lease
+	g.leader = nil
+	g.mu.Unlock()
+	if leading {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = g.e.store.Revoke(ctx, lease)
+	}
+}
--- a/entry/status.go
+++ b/entry/status.go
@@ -55,7 +55,7 @@
 	Phase   string  `json:"phase"`
 	Version uint64  `json:"version"`
 	Skew    float64 `json:"skew"`
-	Moves   int     `json:"moves_last_hour"`
+	Moves   int     `json:"moves"`
 }
 
 func (e *Entry) status() Status {
--- /dev/null
+++ b/epmap/script_test.go
@@ -0,0 +1,150 @@
+package epmap
+
+import (
+	"sort"
+	"testing"
+
+	"github.com/samber/lo"
+
+	"geraniumpass/check"
+	"geraniumpass/proto"
+)
+
+// script drives a world of two ranks and two leaders event by event.
+type script struct {
+	t   *testing.T
+	w   *world
+	mut mutation
+}
+
+// orders delivers a leader's open orders of one kind to the given ranks, and the replies to the leader when answer is true.
+func (s *script) orders(leader int, kind proto.OrderKind, answer bool, ranks ...int) {
+	s.t.Helper()
+	for _, r := range ranks {
+		m, ok := s.find(func(m message) bool {
+			return !m.answer && m.leader == leader && m.rank == r && m.order.Kind == kind
+		})
+		if !ok {
+			s.t.Fatalf("leader %d has sent no %s to rank %d; phase %s", leader, kind, r, s.w.leaders[leader].Phase)
+		}
+		s.w.deliver(m, s.mut)
+		if answer {
+			s.replies(leader, r)
+		}
+	}
+}
+
+func (s *script) replies(leader, rank int) {
+	seq := s.w.leaders[leader].Seq
+	m, ok := s.find(func(m message) bool {
+		return m.answer && m.leader == leader && m.rank == rank && m.reply.Seq == seq
+	})
+	if ok {
+		s.w.deliver(m, s.mut)
+	}
+}
+
+// find returns the newest message that matches.
+func (s *script) find(match func(message) bool) (message, bool) {
+	keys := lo.Keys(s.w.msgs)
+	sort.Strings(keys)
+	var best message
+	found := false
+	for _, k := range keys {
+		m := s.w.msgs[k]
+		if match(m) && (!found || m.order.Seq > best.order.Seq) {
+			best, found = m, true
+		}
+	}
+	return best, found
+}
+
+func (s *script) restart(rank int) {
+	s.w.guards[rank] = Guard{Incarnation: s.w.guards[rank].Incarnation + 1}
+}
+
+func (s *script) propose(leader int) {
+	s.w.leaders[leader].Propose(nil, 1)
+	s.w.leaders[leader].Plan.Step = 0
+	s.w.send(leader)
+}
+
+// step has every rank that may take step 1.
+func (s *script) step() {
+	for r := range s.w.engines {
+		if s.w.engines[r].step > 1 {
+			continue
+		}
+		if v, ok := s.w.engines[r].begin(); ok {
+			s.w.used[1][r] = v
+		}
+	}
+}
+
+// capBoth brings leader 0 to the point at which its grants are sent but not delivered.
+func (s *script) capBoth() {
+	s.orders(0, proto.OrderInquire, true, 0, 1)
+	s.propose(0)
+	s.orders(0, proto.OrderStage, true, 0, 1)
+	s.orders(0, proto.OrderCap, true, 0, 1)
+	if p := s.w.leaders[0].Phase; p != PhaseGrant {
+		s.t.Fatalf("leader 0 is in phase %s", p)
+	}
+}
+
+func TestScriptedSwitches(t *testing.T) {
+	tests := []struct {
+		name string
+		mut  mutation
+		run  func(s *script)
+		want bool
+	}{
+		{name: "old grant at a restarted rank", run: oldGrant},
+		{name: "old grant at a restarted rank", mut: noIncarnation, run: oldGrant, want: true},
+		{name: "restart in the midst of an inquiry", run: restartInInquiry},
+		{name: "restart in the midst of an inquiry", mut: noConfirm, run: restartInInquiry, want: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name+" "+string(tt.mut), func(t *testing.T) {
+			check.SetFatal(true)
+			s := &script{t: t, w: newWorld(bounds{ranks: 2, leaders: 2, steps: 1}), mut: tt.mut}
+			tt.run(s)
+			if _, got := s.w.twoMaps(); got != tt.want {
+				t.Errorf("two maps in a step: %t, want %t; used %v", got, tt.want, s.w.used)
+			}
+		})
+	}
+}
+
+// oldGrant: leader 1 takes the promises back, then rank 1 is restarted and gets the old leader's grant.
+func oldGrant(s *script) {
+	s.capBoth()
+	s.orders(1, proto.OrderInquire, true, 0, 1)
+	s.orders(1, proto.OrderInquire, true, 0, 1)
+	s.orders(1, proto.OrderUncap, true, 0)
+	s.step()
+	s.restart(1)
+	s.orders(0, proto.OrderGrant, true, 1)
+	s.step()
+}
+
+// restartInInquiry: rank 1 answers leader 1 before the old leader's cap and is restarted, so that the old leader may go on there.
+func restartInInquiry(s *script) {
+	s.orders(1, proto.OrderInquire, true, 1)
+	s.restart(1)
+	s.capBoth()
+	s.orders(1, proto.OrderInquire, true, 0)
+	l := &s.w.leaders[1]
+	if s.mut == noConfirm && l.Phase == PhaseConfirm {
+		l.enter(PhaseUncap)
+		s.w.send(1)
+	}
+	if l.Phase == PhaseUncap {
+		s.orders(1, proto.OrderUncap, true, 0)
+	} else {
+		s.orders(1, proto.OrderInquire, true, 0, 1)
+	}
+	s.step()
+	s.orders(0, proto.OrderGrant, true, 1)
+	s.step()
+}
--- /dev/null
+++ b/place/improve.go
@@ -0,0 +1,220 @@
+package place
+
+import (
+	"slices"
+	"sort"
+)
+
+// coldRanks is how many of the least loaded ranks are tried as the place of a copy.
+const coldRanks = 16
+
+// minGain is the least relative relief of the hottest rank that is worth a copy.
+const minGain = 0.002
+
+// action is one change of a placement: a copy of expert goes to rank to, in the place of evicted there; with swap the hot rank gives expert away and takes evicted.
+type action struct {
+	expert  int
+	to      int
+	evicted int
+	swap    bool
+	copies  int
+	peak    float64
+}
+
+// improver applies actions while it keeps the rank loads up to date.
+type improver struct {
+	p     *Placement
+	load  []float64
+	ranks []float64
+	held  [][]int
+	mean  float64
+}
+
+// Improve returns a placement whose skew is at most target, or as near as maxCopies loads of an expert bring it, and the number of copies it takes.
+// It relieves the hottest rank step by step by the action that lowers its load most for each copy.
+func Improve(p *Placement, load []float64, target float64, maxCopies int) (*Placement, int) {
+	im := newImprover(p, load)
+	copies := 0
+	for copies < maxCopies {
+		hot := im.hottest()
+		if im.mean <= 0 || im.ranks[hot]/im.mean-1 <= target {
+			break
+		}
+		a, ok := im.best(hot, maxCopies-copies)
+		if !ok {
+			break
+		}
+		im.apply(hot, a)
+		copies += a.copies
+	}
+	return im.p, copies
+}
+
+func newImprover(p *Placement, load []float64) *improver {
+	im := &improver{
+		p:     p.Clone(),
+		load:  load,
+		ranks: p.Loads(load),
+		held:  make([][]int, p.Ranks),
+	}
+	for e, holders := range p.Experts {
+		for _, r := range holders {
+			im.held[r] = append(im.held[r], e)
+		}
+	}
+	for _, l := range im.ranks {
+		im.mean += l / float64(p.Ranks)
+	}
+	return im
+}
+
+func (im *improver) hottest() int {
+	hot := 0
+	for r := range im.ranks {
+		if im.ranks[r] > im.ranks[hot] {
+			hot = r
+		}
+	}
+	return hot
+}
+
+// coldest returns the least loaded ranks, the coldest first.
+func (im *improver) coldest() []int {
+	order := make([]int, len(im.ranks))
+	for r := range order {
+		order[r] = r
+	}
+	sort.SliceStable(order, func(i, j int) bool { return im.ranks[order[i]] < im.ranks[order[j]] })
+	return order[:min(coldRanks, len(order))]
+}
+
+// share is the load that each copy of an expert carries when it has n copies.
+func (im *improver) share(e, n int) float64 {
+	return im.load[e] / float64(n)
+}
+
+func (im *improver) best(hot, maxCopies int) (action, bool) {
+	var best action
+	bestScore := 0.0
+	before := im.ranks[hot]
+	consider := func(a action) {
+		if a.copies > maxCopies || a.peak >= before*(1-minGain) {
+			return
+		}
+		if score := (before - a.peak) / float64(a.copies); score > bestScore {
+			best, bestScore = a, score
+		}
+	}
+	for _, cold := range im.coldest() {
+		if cold == hot {
+			continue
+		}
+		for _, e := range im.held[hot] {
+			if !slices.Contains(im.p.Experts[e], cold) {
+				im.tryCopies(e, hot, cold, consider)
+				im.trySwaps(e, hot, cold, consider)
+			}
+		}
+	}
+	return best, bestScore > 0
+}
+
+// tryCopies considers a further copy of e on the cold rank, in a free slot or in the place of an expert that has other copies.
+func (im *improver) tryCopies(e, hot, cold int, consider func(action)) {
+	n := len(im.p.Experts[e])
+	after := im.share(e, n+1)
+	hotLoad := im.ranks[hot] - im.share(e, n) + after
+	if len(im.held[cold]) < im.p.Slots {
+		consider(action{
+			expert:  e,
+			to:      cold,
+			evicted: -1,
+			copies:  1,
+			peak:    max(hotLoad, im.ranks[cold]+after),
+		})
+	}
+	for _, x := range im.held[cold] {
+		m := len(im.p.Experts[x])
+		if m < 2 {
+			continue
+		}
+		grown := im.share(x, m-1) - im.share(x, m)
+		peak := max(hotLoad, im.ranks[cold]-im.share(x, m)+after)
+		for _, r := range im.p.Experts[x] {
+			switch r {
+			case cold:
+			case hot:
+				peak = max(peak, hotLoad+grown)
+			default:
+				peak = max(peak, im.ranks[r]+grown)
+			}
+		}
+		consider(action{
+			expert:  e,
+			to:      cold,
+			evicted: x,
+			copies:  1,
+			peak:    peak,
+		})
+	}
+}
+
+// trySwaps considers an exchange of e against a lighter expert of the cold rank.
+func (im *improver) trySwaps(e, hot, cold int, consider func(action)) {
+	we := im.share(e, len(im.p.Experts[e]))
+	for _, x := range im.held[cold] {
+		wx := im.share(x, len(im.p.Experts[x]))
+		if wx >= we || slices.Contains(im.p.Experts[x], hot) {
+			continue
+		}
+		consider(action{
+			expert:  e,
+			to:      cold,
+			evicted: x,
+			swap:    true,
+			copies:  2,
+			peak:    max(im.ranks[hot]-we+wx, im.ranks[cold]-wx+we),
+		})
+	}
+}
+
+func (im *improver) apply(hot int, a action) {
+	if a.swap {
+		im.remove(a.expert, hot)
+		im.remove(a.evicted, a.to)
+		im.add(a.expert, a.to)
+		im.add(a.evicted, hot)
+		return
+	}
+	if a.evicted >= 0 {
+		im.remove(a.evicted, a.to)
+	}
+	im.add(a.expert, a.to)
+}
+
+func (im *improver) add(e, rank int) {
+	im.spread(e, -1)
+	im.p.Experts[e] = append(im.p.Experts[e], rank)
+	im.held[rank] = append(im.held[rank], e)
+	im.spread(e, 1)
+}
+
+func (im *improver) remove(e, rank int) {
+	im.spread(e, -1)
+	im.p.Experts[e] = without(im.p.Experts[e], rank)
+	im.held[rank] = without(im.held[rank], e)
+	im.spread(e, 1)
+}
+
+// spread adds or takes away what the copies of an expert put on their ranks.
+func (im *improver) spread(e int, sign float64) {
+	n := len(im.p.Experts[e])
+	for _, r := range im.p.Experts[e] {
+		im.ranks[r] += sign * im.share(e, n)
+	}
+}
+
+func without(list []int, v int) []int {
+	i := slices.Index(list, v)
+	return slices.Delete(slices.Clone(list), i, i+1)
+}
--- a/proof/harness_test.go
+++ b/proof/harness_test.go
@@ -207,13 +207,3 @@
 		t.Errorf("%d of %d requests ended otherwise than allowed", bad, len(results))
 	}
 }
-
-func countVerdict(results []sent, v caller.Verdict) int {
-	n := 0
-	for _, s := range results {
-		if s.result.Verdict == v {
-			n++
-		}
-	}
-	return n
-}
--- /dev/null
+++ b/proof/map_test.go
@@ -0,0 +1,187 @@
+package proof
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"geraniumpass/config"
+	"geraniumpass/deploy"
+	"geraniumpass/stand"
+)
+
+const (
+	groupName    = "geranium-lm"
+	groupExperts = 16
+	manyMoves    = 1_000_000
+)
+
+// groupPlan is the small plan with its engines as the ranks of a group whose map is switched as often as possible.
+func groupPlan(checksFence bool) *deploy.Plan {
+	p := smallPlan()
+	s := &p.Services[0]
+	s.Group = groupName
+	s.Experts = groupExperts
+	s.Slots = 8
+	s.ChecksFence = checksFence
+	p.Configuration.Groups = []config.Group{{
+		Name:         groupName,
+		Skew:         0.02,
+		MovesPerHour: manyMoves,
+	}}
+	return p
+}
+
+// drift changes the popularity of experts until the test ends, so that there is always a reason to switch.
+func drift(t *testing.T, g *stand.Group) {
+	t.Helper()
+	stop := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		random := rand.New(rand.NewPCG(11, 12))
+		tick := time.NewTicker(200 * time.Millisecond)
+		defer tick.Stop()
+		for {
+			select {
+			case <-stop:
+				return
+			case <-tick.C:
+			}
+			p := make([]float64, groupExperts)
+			for i := range p {
+				p[i] = 1 + 1000*random.ExpFloat64()
+			}
+			g.SetPopularity(p)
+		}
+	}()
+	t.Cleanup(func() {
+		close(stop)
+		<-done
+	})
+}
+
+// leaderOf returns the entry that leads the group, of those that can be asked.
+func leaderOf(d *deploy.Deployment, frozen ...*deploy.Process) *deploy.Process {
+	for i, p := range d.Entries {
+		if !p.Running() || slices.Contains(frozen, p) {
+			continue
+		}
+		s, err := d.Operator(i).Status()
+		if err != nil {
+			continue
+		}
+		for _, g := range s.Groups {
+			if g.Group == groupName && g.Leading {
+				return p
+			}
+		}
+	}
+	return nil
+}
+
+func version(g *stand.Group) uint64 {
+	return g.Ranks()[0].State().Version
+}
+
+// switches waits until the group has gone through n more maps.
+func switches(t *testing.T, g *stand.Group, n int) {
+	t.Helper()
+	for range n {
+		from := version(g)
+		eventually(t, "a switch of the map", func() bool { return version(g) > from })
+	}
+}
+
+// midSwitch waits until some rank holds a promise.
+func midSwitch(t *testing.T, g *stand.Group) {
+	t.Helper()
+	end := time.Now().Add(waitLimit)
+	for time.Now().Before(end) {
+		for _, r := range g.Ranks() {
+			if r.State().Capped {
+				return
+			}
+		}
+	}
+	t.Fatal("no rank ever held a promise")
+}
+
+func oneMap(t *testing.T, g *stand.Group) {
+	t.Helper()
+	if n := g.Violations(); n > 0 {
+		t.Errorf("%d steps on more than one map", n)
+	}
+}
+
+func TestOneMapUnderFailures(t *testing.T) {
+	tests := []struct {
+		name  string
+		fence bool
+		hurt  func(t *testing.T, d *deploy.Deployment, g *stand.Group)
+	}{
+		{name: "nothing", hurt: func(*testing.T, *deploy.Deployment, *stand.Group) {}},
+		{name: "leader killed in mid-switch", hurt: func(t *testing.T, d *deploy.Deployment, g *stand.Group) {
+			p := leaderOf(d)
+			midSwitch(t, g)
+			p.Kill()
+			if err := p.Restart(); err != nil {
+				t.Fatal(err)
+			}
+		}},
+		{name: "leader frozen until its lease has lapsed, then going on", hurt: func(t *testing.T, d *deploy.Deployment, g *stand.Group) {
+			p := leaderOf(d)
+			midSwitch(t, g)
+			p.Freeze()
+			eventually(t, "another leader", func() bool {
+				return leaderOf(d, p) != nil
+			})
+			p.Thaw()
+		}},
+		{name: "platform outage in mid-switch", hurt: func(t *testing.T, d *deploy.Deployment, g *stand.Group) {
+			midSwitch(t, g)
+			d.KeyValue.SetFault(stand.Fault{Down: true})
+			step := g.Step()
+			eventually(t, "steps during the outage", func() bool { return g.Step() > step+500 })
+			d.KeyValue.SetFault(stand.Fault{})
+		}},
+		{name: "leases ended while their holder is at work, and the next holder's answer lost", hurt: func(t *testing.T, d *deploy.Deployment, g *stand.Group) {
+			midSwitch(t, g)
+			d.KeyValue.EndLeases()
+			d.KeyValue.SetFault(stand.Fault{LoseNext: 3})
+		}},
+		{name: "agents restarted in mid-switch", hurt: func(t *testing.T, d *deploy.Deployment, g *stand.Group) {
+			for _, id := range []string{model + "-00", model + "-01"} {
+				midSwitch(t, g)
+				a := d.Agents[id]
+				a.Kill()
+				if err := a.Restart(); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}},
+		{name: "orders and replies held in one direction", fence: true, hurt: func(t *testing.T, d *deploy.Deployment, g *stand.Group) {
+			domain := leaderOf(d).Domain
+			for _, brk := range []stand.Break{{HoldForward: true}, {HoldBack: true}, {Delay: 20 * time.Millisecond}} {
+				midSwitch(t, g)
+				d.AgentRelays[domain][model+"-02"].Set(brk)
+				step := g.Step()
+				eventually(t, "a while", func() bool { return g.Step() > step || g.Stalled() > 0 })
+				d.AgentRelays[domain][model+"-02"].Set(stand.Break{})
+			}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			d := launch(t, groupPlan(tt.fence), deploy.Options{})
+			g := d.Groups[groupName]
+			drift(t, g)
+			switches(t, g, 1)
+			tt.hurt(t, d, g)
+			switches(t, g, 2)
+			oneMap(t, g)
+		})
+	}
+}
--- a/proto/control.go
+++ b/proto/control.go
@@ -17,6 +17,9 @@
 	Healthy     bool        `cbor:"6,keyasint"`
 	RunningCost float64     `cbor:"7,keyasint"`
 	Revision    uint64      `cbor:"8,keyasint,omitempty"`
+	Group       string      `cbor:"9,keyasint,omitempty"`
+	Rank        int         `cbor:"10,keyasint,omitempty"`
+	Ranks       int         `cbor:"11,keyasint,omitempty"`
 }
 
 // Heartbeat is sent by the dialling side; Floor is the lowest attempt number still open, below which the agent may forget.
