Prove at most once, leaving, planned stops and configuration with real processes

It now tells callers and the balancer to go elsewhere for two seconds first. - The race detector showed a configuration watch being closed while it was read; ending it now closes its connection instead. - The harness handed out ports that the kernel gave to outgoing connections; it takes them from below that range now.

--- a/agent/runs.go
+++ b/agent/runs.go
@@ -38,6 +38,18 @@
 	s.runs[k] = r
 }
 
+// add puts a run under a key that has none and returns false when it has one.
+func (rs *runs) add(k ledger.Key, r *run) bool {
+	s := rs.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.runs[k]; ok {
+		return false
+	}
+	s.runs[k] = r
+	return true
+}
+
 func (rs *runs) get(k ledger.Key) *run {
 	s := rs.shard(k)
 	s.mu.Lock()
--- a/agent/work.go
+++ b/agent/work.go
@@ -19,6 +19,9 @@
 		a.refuse(key, d.ClaimKey, core.OutcomeNotRun, core.ReasonLeaving, 0)
 		return
 	}
+	// The run is findable before the ledger shows its claim, so that a repeat on another link never misses it.
+	r := newRun(key, d, a.clock.Now())
+	fresh := a.runs.add(key, r)
 	v := a.ledger.Offer(ledger.Offer{
 		Key:         key,
 		Incarnation: d.Incarnation,
@@ -27,6 +30,9 @@
 		ClaimDigest: d.ClaimDigest,
 		ClaimFor:    d.ClaimFor,
 	})
+	if fresh && v.Action != ledger.ActionQueue {
+		a.runs.remove(key)
+	}
 	switch v.Action {
 	case ledger.ActionRefuse:
 		a.refuse(key, d.ClaimKey, v.Outcome, v.Reason, 0)
@@ -35,10 +41,11 @@
 	case ledger.ActionQueue:
 		// A claim is looked up first even while leaving: what has run here is answered, only what is new is refused.
 		if a.leaving.Load() && a.ledger.Cancel(key) {
+			a.runs.remove(key)
 			a.refuse(key, d.ClaimKey, core.OutcomeNotRun, core.ReasonLeaving, 0)
 			return
 		}
-		a.enqueue(key, d)
+		a.enqueue(r)
 	}
 }
 
@@ -54,10 +61,9 @@
 	}
 }
 
-func (a *Agent) enqueue(key ledger.Key, d *proto.Dispatch) {
-	now := a.clock.Now()
-	r := newRun(key, d, now)
-	a.runs.put(key, r)
+func (a *Agent) enqueue(r *run) {
+	now := r.queuedAt
+	d := r.dispatch
 	a.sched.Lock()
 	a.nextItem++
 	r.item = a.nextItem
--- a/deploy/deployment.go
+++ b/deploy/deployment.go
@@ -3,9 +3,11 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs/v2"
@@ -384,12 +386,30 @@
 	return out
 }
 
-// freeAddress asks the kernel for a port that nobody listens on.
+// The ports handed out lie below those that the kernel gives to outgoing connections, which would otherwise take them
+// between the moment they are chosen and the moment a process listens there.
+const (
+	firstPort = 12_000
+	lastPort  = 30_000
+)
+
+var nextPort atomic.Int64
+
+func init() {
+	nextPort.Store(firstPort + rand.Int64N((lastPort-firstPort)/2))
+}
+
+// freeAddress returns a port of the loopback interface on which nobody listens, a new one each time.
 func freeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errs.Wrap(err)
+	for {
+		port := nextPort.Add(1)
+		if port >= lastPort {
+			return "", &TimeoutError{What: "a free port"}
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		ln, err := net.Listen("tcp", address)
+		if err == nil {
+			return address, errs.Wrap(ln.Close())
+		}
 	}
-	address := ln.Addr().String()
-	return address, errs.Wrap(ln.Close())
 }
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -42,6 +42,7 @@
 		// A streamed request outlives its handler, so that what is read of it must not be reused.
 		Immutable: true,
 	})
+	app.Use(e.tellStopping)
 	app.Get("/livez", func(c fiber.Ctx) error { return c.SendString("ok") })
 	app.Get("/readyz", e.ready)
 	app.Get(modelsPath, e.models)
@@ -69,6 +70,14 @@
 	return sendProblem(c, core.NotRun(reason, err.Error()), "")
 }
 
+// tellStopping has callers of a stopping entry open their next connection elsewhere.
+func (e *Entry) tellStopping(c fiber.Ctx) error {
+	if e.stopping.Load() {
+		c.Response().SetConnectionClose()
+	}
+	return c.Next()
+}
+
 func (e *Entry) ready(c fiber.Ctx) error {
 	switch {
 	case e.stopping.Load():
@@ -179,9 +188,6 @@
 		r.id = e.cfg.ID + "-" + strconv.FormatUint(e.self.Incarnation, 36) + "-" + strconv.FormatUint(e.requests.Add(1), 36)
 	}
 	c.Set(headerRequestID, r.id)
-	if e.stopping.Load() {
-		c.Set(fiber.HeaderConnection, "close")
-	}
 	doc := e.config.Document()
 	if doc.Revision == 0 {
 		return r, core.NotRun(core.ReasonNoConfig, "this entry holds no configuration yet")
--- a/entry/changer.go
+++ b/entry/changer.go
@@ -34,47 +34,47 @@
 	}
 }
 
-// change applies a record made against revision base and returns the document once the service has confirmed it.
+// change applies a record made against revision base and returns the revision that it became once the service has confirmed it.
 // It fails with a *config.ConflictError, *config.InvalidError, *config.UnsureError or *store.DownError.
-func (c *changer) change(ctx context.Context, base uint64, r config.Record) (*config.Document, error) {
+func (c *changer) change(ctx context.Context, base uint64, r config.Record) (uint64, error) {
 	v, err := c.store.Get(ctx, configKey)
 	if err != nil {
-		return nil, errs.Wrap(err)
+		return 0, errs.Wrap(err)
 	}
 	doc, err := decode(v)
 	if err != nil {
-		return nil, err
+		return 0, err
 	}
 	if done, ok := find(doc, r.ID); ok {
-		return doc, sameChange(done, r)
+		return done.Revision, sameChange(done, r)
 	}
 	if doc.Revision != base || doc.Revision < c.config.Document().Revision {
-		return nil, conflict(base, doc)
+		return 0, conflict(base, doc)
 	}
 	r.Revision = base + 1
 	r.At = c.clock.Now().UTC()
 	next, err := config.Apply(doc, r)
 	if err != nil {
-		return nil, err
+		return 0, err
 	}
 	if next, err = c.page(ctx, next); err != nil {
-		return nil, err
+		return 0, err
 	}
 	return c.swap(ctx, next, v.Modified, r.ID)
 }
 
 // swap writes the document; after a lost answer it reads back and repeats only the same conditional write, which can succeed once.
-func (c *changer) swap(ctx context.Context, next *config.Document, modified int64, id string) (*config.Document, error) {
+func (c *changer) swap(ctx context.Context, next *config.Document, modified int64, id string) (uint64, error) {
 	data, err := json.Marshal(next)
 	if err != nil {
-		return nil, errs.Wrap(err)
+		return 0, errs.Wrap(err)
 	}
 	unsure := false
 	for {
 		_, err := c.store.Swap(ctx, configKey, data, modified, 0)
 		if err == nil {
 			c.config.Offer(next)
-			return next, nil
+			return next.Revision, nil
 		}
 		var lost *store.ConflictError
 		if errors.As(err, &lost) {
@@ -83,30 +83,30 @@
 		var maybe *store.UnsureError
 		unsure = unsure || errors.As(err, &maybe)
 		if !unsure {
-			return nil, err
+			return 0, err
 		}
 		select {
 		case <-ctx.Done():
-			return nil, &config.UnsureError{ID: id}
+			return 0, &config.UnsureError{ID: id}
 		case <-c.clock.After(changePause):
 		}
 	}
 }
 
 // settle finds out from what the service holds whether the change was accepted after all.
-func (c *changer) settle(v store.Value, next *config.Document, id string) (*config.Document, error) {
+func (c *changer) settle(v store.Value, next *config.Document, id string) (uint64, error) {
 	doc, err := decode(v)
 	if err != nil {
-		return nil, err
+		return 0, err
 	}
-	if _, ok := find(doc, id); ok {
+	if done, ok := find(doc, id); ok {
 		c.config.Offer(doc)
-		return doc, nil
+		return done.Revision, nil
 	}
 	if _, all := doc.Since(next.Revision - 1); !all {
-		return nil, &config.UnsureError{ID: id}
+		return 0, &config.UnsureError{ID: id}
 	}
-	return nil, conflict(next.Revision-1, doc)
+	return 0, conflict(next.Revision-1, doc)
 }
 
 // page moves the oldest records out of a long document into a page of their own, which is written first.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -27,7 +27,9 @@
 	defaultDeadline = 2 * time.Minute
 	defaultRetains  = time.Hour
 	stopTime        = 10 * time.Minute
-	headerBytes     = 16 << 10
+	// stopNotice is how long a stopping entry goes on accepting while it tells callers and the balancer to go elsewhere.
+	stopNotice  = 2 * time.Second
+	headerBytes = 16 << 10
 )
 
 // Entry is the process between callers and agents.
@@ -154,6 +156,7 @@
 func (e *Entry) stop() {
 	e.stopping.Store(true)
 	e.log.Info("stopping", "in_flight", e.open.Load())
+	e.clock.Sleep(stopNotice)
 	if err := e.callers.ShutdownWithTimeout(stopTime); err != nil {
 		e.log.Warn("callers cut off", "error", err)
 	}
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -89,7 +89,7 @@
 	}
 	ctx, cancel := context.WithTimeout(e.ctx, changeTimeout)
 	defer cancel()
-	doc, err := e.change.change(ctx, req.Base, config.Record{
+	revision, err := e.change.change(ctx, req.Base, config.Record{
 		ID:   req.ID,
 		Who:  req.Who,
 		Note: req.Note,
@@ -99,10 +99,10 @@
 		e.log.Info("change not accepted", "change", req.ID, "who", req.Who, "error", err)
 		return c.Status(changeStatus(err)).JSON(changeError(err))
 	}
-	e.log.Info("change accepted", "change", req.ID, "who", req.Who, "revision", doc.Revision)
+	e.log.Info("change accepted", "change", req.ID, "who", req.Who, "revision", revision)
 	return c.JSON(ChangeReply{
 		Accepted: true,
-		Revision: doc.Revision,
+		Revision: revision,
 	})
 }
 
--- a/stand/plain.go
+++ b/stand/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -25,6 +26,7 @@
 	Server *Server
 	Runs   *Counter
 
+	calls   atomic.Int64
 	mu      sync.Mutex
 	leaving bool
 }
@@ -43,6 +45,11 @@
 	p.leaving = leaving
 }
 
+// Calls returns how many calls were put to this instance.
+func (p *Plain) Calls() int64 {
+	return p.calls.Load()
+}
+
 func (p *Plain) handle(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) == "/health" {
 		p.mu.Lock()
@@ -50,6 +57,7 @@
 		write(ctx, Health{Leaving: p.leaving})
 		return
 	}
+	p.calls.Add(1)
 	probe := string(ctx.Request.Header.Peek(HeaderProbe))
 	n := p.Runs.Add(probe)
 	args := ctx.QueryArgs()
--- a/store/etcd.go
+++ b/store/etcd.go
@@ -43,13 +43,11 @@
 type Etcd struct {
 	address string
 	client  *fasthttp.Client
-	stream  *fasthttp.Client
 	calls   atomic.Int64
 }
 
 // NewEtcd returns a store at address, an IP and port; no connection is made until it is used.
 func NewEtcd(address string) *Etcd {
-	never := func(*fasthttp.Request, int, error) (bool, bool) { return false, false }
 	return &Etcd{
 		address: address,
 		client: &fasthttp.Client{
@@ -57,11 +55,6 @@
 			MaxIdleConnDuration: time.Second,
 			RetryIfErr:          never,
 		},
-		stream: &fasthttp.Client{
-			MaxConnsPerHost:    maxConns,
-			RetryIfErr:         never,
-			StreamResponseBody: true,
-		},
 	}
 }
 
@@ -136,13 +129,13 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	e.fill(req, PathWatch, body)
-	if err := e.stream.Do(req, resp); err != nil {
+	client := e.watchClient(ctx)
+	if err := client.Do(req, resp); err != nil {
 		return &DownError{Cause: err}
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return &DownError{Cause: &StatusError{Status: resp.StatusCode(), Body: "watch refused"}}
 	}
-	defer context.AfterFunc(ctx, func() { _ = resp.CloseBodyStream() })()
 	d := json.NewDecoder(bufio.NewReader(resp.BodyStream()))
 	for {
 		var line WatchResponse
@@ -157,6 +150,28 @@
 	}
 }
 
+// watchClient returns a client whose one connection is closed when ctx ends, which ends the read of the stream.
+func (e *Etcd) watchClient(ctx context.Context) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
+		Addr:               e.address,
+		MaxConns:           1,
+		RetryIfErr:         never,
+		StreamResponseBody: true,
+		Dial: func(address string) (net.Conn, error) {
+			c, err := fasthttp.DialTimeout(address, callTimeout)
+			if err == nil {
+				context.AfterFunc(ctx, func() { _ = c.Close() })
+			}
+			return c, err
+		},
+	}
+}
+
+// never keeps the client from repeating a call by itself, since a write may have taken effect.
+func never(*fasthttp.Request, int, error) (resetTimeout, retry bool) {
+	return false, false
+}
+
 // Grant implements Store.
 func (e *Etcd) Grant(ctx context.Context, ttl time.Duration) (Lease, error) {
 	var resp LeaseResponse
