Measure the slopes of every role and keep a group's lead within its traffic

make capacity varies one thing at a time (links, changes, requests, streams, ranks, accounts, classes, records) on one machine and prints slope, intercept and fit. Found by it: a leader of 256 ranks exchanged 122 KB/s, because every rank returned its map in an inquiry every two seconds. With more than 100 links heartbeats now come less often in proportion.

--- a/agent/rank.go
+++ b/agent/rank.go
@@ -46,8 +46,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	reply, err := r.guard.Handle(o, r)
-	if o.Kind != proto.OrderInquire {
-		// Only an inquiry asks for what is large.
+	if !o.Full {
 		reply.Rank.Map, reply.Rank.Tokens = nil, nil
 	}
 	if err != nil {
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -79,7 +79,11 @@
 	if h.Revision > a.config.Document().Revision && a.mayAsk() {
 		_ = l.Send(&proto.Frame{ConfigAsk: &proto.ConfigAsk{Have: a.config.Document().Revision}})
 	}
-	_ = l.Send(&proto.Frame{Report: a.report()})
+	r := a.report()
+	if h.First {
+		r.Group, r.Rank, r.Ranks = a.cfg.Upstream.Group, a.cfg.Upstream.Rank, a.cfg.Upstream.Ranks
+	}
+	_ = l.Send(&proto.Frame{Report: r})
 }
 
 func (a *Agent) report() *proto.Report {
@@ -100,8 +104,5 @@
 		Leaving:     a.leaving.Load(),
 		Healthy:     a.healthy.Load(),
 		Revision:    a.config.Document().Revision,
-		Group:       a.cfg.Upstream.Group,
-		Rank:        a.cfg.Upstream.Rank,
-		Ranks:       a.cfg.Upstream.Ranks,
 	}
 }
--- /dev/null
+++ b/cmd/capacity/fleet.go
@@ -0,0 +1,187 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"github.com/samber/do/v2"
+	"github.com/zeebo/errs/v2"
+
+	"geraniumpass/agent"
+	"geraniumpass/core"
+	"geraniumpass/deploy"
+	"geraniumpass/place"
+	"geraniumpass/proto"
+	"geraniumpass/setup"
+	"geraniumpass/stand"
+)
+
+const (
+	linkKey     = "link-key-of-the-measurement"
+	operatorKey = "operator-key-of-the-measurement"
+	region      = "bc-lower"
+	domain      = "hall-a"
+	service     = "geranium-lm"
+	groupName   = "group"
+	slotsARank  = 2
+	// prompt is what every request of the measurement asks, and tokens what a short answer has.
+	prompt = "p"
+)
+
+// instantUpstream answers without a network: a head and the tokens that a request asks for, at a fixed pace.
+type instantUpstream struct {
+	pace  time.Duration
+	ranks int
+
+	mu      sync.Mutex
+	version uint64
+	first   []byte
+	tokens  []float64
+}
+
+// Do implements agent.Upstream.
+func (u *instantUpstream) Do(d *proto.Dispatch, _ time.Time, part func(*proto.Answer) error) error {
+	err := part(&proto.Answer{
+		Status:  200,
+		Headers: []proto.Header{{Name: "Content-Type", Value: "text/event-stream"}},
+	})
+	for i := 0; err == nil && i < int(d.Cost); i++ {
+		time.Sleep(u.pace)
+		event := fmt.Sprintf("data: {\"id\":\"x\",\"object\":\"text_completion\",\"model\":%q,\"choices\":[{\"index\":0,\"text\":%q}]}\n\n", service, stand.Token(prompt, i))
+		err = part(&proto.Answer{Data: []byte(event)})
+	}
+	if err != nil {
+		return err
+	}
+	return part(&proto.Answer{
+		Data: []byte("data: [DONE]\n\n"),
+		Last: true,
+	})
+}
+
+// Cancel implements agent.Upstream.
+func (*instantUpstream) Cancel(string) {}
+
+// Leaving implements agent.Upstream.
+func (*instantUpstream) Leaving() (bool, error) { return false, nil }
+
+// Order implements agent.Upstream for a rank that follows every order at once.
+func (u *instantUpstream) Order(body []byte) ([]byte, error) {
+	var o struct {
+		Kind    proto.OrderKind `json:"kind"`
+		Version uint64          `json:"version"`
+	}
+	if err := json.Unmarshal(body, &o); err != nil {
+		return nil, errs.Wrap(err)
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if o.Kind == proto.OrderGrant {
+		u.version = o.Version
+	}
+	b, err := json.Marshal(map[string]any{
+		"ok": true,
+		"state": proto.RankState{
+			Version: u.version,
+			Step:    uint64(time.Now().UnixMilli()) / 4,
+			Staged:  u.version,
+			Map:     u.first,
+			Tokens:  u.tokens,
+		},
+	})
+	return b, errs.Wrap(err)
+}
+
+// fleet is a number of agents in this process, for sizes that separate processes can't reach.
+type fleet struct {
+	rows   []core.Instance
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// newFleet starts n agents; with experts they are the ranks of one group.
+func newFleet(n int, experts int, pace time.Duration) (*fleet, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &fleet{cancel: cancel}
+	var first []byte
+	var tokens []float64
+	if experts > 0 {
+		var err error
+		if first, err = place.Even(experts, n, slotsARank).Encode(); err != nil {
+			cancel()
+			return nil, err
+		}
+		tokens = make([]float64, experts)
+		for e := range tokens {
+			tokens[e] = 1
+		}
+	}
+	for i := range n {
+		u := &instantUpstream{
+			pace:    pace,
+			ranks:   n,
+			version: 1,
+			first:   first,
+		}
+		if i == 0 {
+			u.tokens = tokens
+		}
+		if err := f.add(ctx, i, n, u, experts > 0); err != nil {
+			f.close()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func (f *fleet) add(ctx context.Context, i, n int, u agent.Upstream, grouped bool) error {
+	address, err := deploy.FreeAddress()
+	if err != nil {
+		return err
+	}
+	cfg := &setup.Agent{
+		Role:    "agent",
+		ID:      fmt.Sprintf("%s-%04d", service, i),
+		Domain:  domain,
+		Region:  region,
+		Listen:  address,
+		LinkKey: linkKey,
+		Upstream: setup.Upstream{
+			Service:     service,
+			Kind:        string(core.KindModel),
+			Address:     address,
+			ChecksFence: true,
+		},
+	}
+	if grouped {
+		cfg.Upstream.Group, cfg.Upstream.Rank, cfg.Upstream.Ranks = groupName, i, n
+	}
+	in := do.New()
+	do.ProvideValue(in, cfg)
+	do.ProvideValue[clockwork.Clock](in, clockwork.NewRealClock())
+	do.ProvideValue(in, hclog.NewNullLogger())
+	do.ProvideValue(in, u)
+	a, err := agent.New(in)
+	if err != nil {
+		return err
+	}
+	f.wg.Go(func() { _ = a.Run(ctx) })
+	f.rows = append(f.rows, core.Instance{
+		ID:      cfg.ID,
+		Service: service,
+		Kind:    core.KindModel,
+		Domain:  domain,
+		Address: address,
+	})
+	return nil
+}
+
+func (f *fleet) close() {
+	f.cancel()
+	f.wg.Wait()
+}
--- /dev/null
+++ b/cmd/capacity/probe.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/zeebo/errs/v2"
+
+	"geraniumpass/deploy"
+)
+
+// clockTick is the kernel's unit of processor time in /proc, a hundredth of a second.
+const clockTick = 10 * time.Millisecond
+
+// reading is what a process has used so far.
+type reading struct {
+	at       time.Time
+	cpu      time.Duration
+	resident float64
+	sent     float64
+	received float64
+	frames   float64
+	calls    float64
+}
+
+// used is what a process used in a second, between two readings.
+type used struct {
+	// CPU is the share of one core in percent, resident is in megabytes, and the bytes are sent and received by the second.
+	cpu      float64
+	resident float64
+	bytes    float64
+	frames   float64
+	calls    float64
+}
+
+func read(p *deploy.Process) (reading, error) {
+	r := reading{at: time.Now()}
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.PID()))
+	if err != nil {
+		return r, errs.Wrap(err)
+	}
+	_, rest, _ := strings.Cut(string(b), ") ")
+	fields := strings.Fields(rest)
+	const user, system, pages = 11, 12, 21
+	ticks := number(fields[user]) + number(fields[system])
+	r.cpu = time.Duration(ticks) * clockTick
+	r.resident = number(fields[pages]) * float64(os.Getpagesize()) / (1 << 20)
+	status, body, err := fasthttp.GetTimeout(nil, "http://"+p.Control+"/debug/vars", time.Second)
+	if err != nil || status != fasthttp.StatusOK {
+		return r, errs.Errorf("no expvar from %s: %v", p.ID, err)
+	}
+	var vars struct {
+		Sent     float64 `json:"link_bytes_sent"`
+		Received float64 `json:"link_bytes_received"`
+		Frames   float64 `json:"link_frames_sent"`
+		Calls    float64 `json:"key_value_calls"`
+	}
+	if err := json.Unmarshal(body, &vars); err != nil {
+		return r, errs.Wrap(err)
+	}
+	r.sent, r.received, r.frames, r.calls = vars.Sent, vars.Received, vars.Frames, vars.Calls
+	return r, nil
+}
+
+func number(s string) float64 {
+	n, err := strconv.ParseFloat(s, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// measure reads a process before and after a while and returns what it used a second.
+func measure(p *deploy.Process, while time.Duration) (used, error) {
+	a, err := read(p)
+	if err != nil {
+		return used{}, err
+	}
+	time.Sleep(while)
+	b, err := read(p)
+	if err != nil {
+		return used{}, err
+	}
+	s := b.at.Sub(a.at).Seconds()
+	return used{
+		cpu:      (b.cpu - a.cpu).Seconds() / s * 100,
+		resident: b.resident,
+		bytes:    (b.sent + b.received - a.sent - a.received) / s,
+		frames:   (b.frames - a.frames) / s,
+		calls:    (b.calls - a.calls) / s,
+	}, nil
+}
--- a/deploy/deployment.go
+++ b/deploy/deployment.go
@@ -301,6 +301,25 @@
 	return p.start()
 }
 
+// Launch starts one process of a role with the given settings, outside of a deployment.
+func Launch(binary, dir, id string, role string, control string, cfg any) (*Process, error) {
+	d := &Deployment{
+		Dir:    dir,
+		binary: binary,
+	}
+	p := &Process{
+		ID:      id,
+		Role:    role,
+		Control: control,
+	}
+	return p, d.launch(p, cfg)
+}
+
+// FreeAddress returns an address of the loopback interface on which nobody listens.
+func FreeAddress() (string, error) {
+	return freeAddress()
+}
+
 // Operator returns the operator's client of one entry.
 func (d *Deployment) Operator(entry int) *oper.Client {
 	return &oper.Client{
--- a/entry/grouplead.go
+++ b/entry/grouplead.go
@@ -21,7 +21,9 @@
 	leaderLease  = 5 * time.Second
 	keepEvery    = 1500 * time.Millisecond
 	seekEvery    = 2 * time.Second
-	inquireEvery = 2 * time.Second
+	peekEvery    = 2 * time.Second
+	// inquireEvery is how soon a rank that holds the promise of a leader long gone is found out.
+	inquireEvery = time.Minute
 	resendEvery  = 200 * time.Millisecond
 	stageLimit   = 30 * time.Second
 	capLimit     = 2 * time.Second
@@ -56,6 +58,7 @@
 	phaseAt   time.Time
 	phaseSeq  uint64
 	inquired  time.Time
+	peeked    time.Time
 	lastStep  uint64
 	lastAt    time.Time
 	stepRate  float64
@@ -188,17 +191,17 @@
 	found := 0
 	for _, p := range g.e.peers.list() {
 		p.mu.Lock()
-		r := p.report
+		group, rank, ranks := p.group, p.rank, p.ranks
 		up := p.link != nil
 		p.mu.Unlock()
-		if r == nil || r.Group != g.name || !up || r.Rank >= r.Ranks {
+		if group != g.name || !up || rank >= ranks {
 			continue
 		}
 		if ids == nil {
-			ids = make([]string, r.Ranks)
+			ids = make([]string, ranks)
 		}
-		if r.Rank < len(ids) && ids[r.Rank] == "" {
-			ids[r.Rank] = p.id
+		if rank < len(ids) && ids[rank] == "" {
+			ids[rank] = p.id
 			found++
 		}
 	}
@@ -234,21 +237,24 @@
 }
 
 func (g *groupLead) send() {
-	for rank, id := range g.agents {
-		o := g.leader.Order(rank)
-		if o == nil {
-			continue
-		}
-		p := g.e.peers.reach(id)
-		if p == nil {
-			continue
-		}
-		p.mu.Lock()
-		link := p.link
-		p.mu.Unlock()
-		if link != nil {
-			_ = link.Send(&proto.Frame{Order: o})
-		}
+	for rank := range g.agents {
+		g.sendTo(rank, g.leader.Order(rank))
+	}
+}
+
+func (g *groupLead) sendTo(rank int, o *proto.Order) {
+	if o == nil {
+		return
+	}
+	p := g.e.peers.reach(g.agents[rank])
+	if p == nil {
+		return
+	}
+	p.mu.Lock()
+	link := p.link
+	p.mu.Unlock()
+	if link != nil {
+		_ = link.Send(&proto.Frame{Order: o})
 	}
 }
 
@@ -264,6 +270,10 @@
 			continue
 		}
 		before := g.leader.Phase
+		if rank == 0 && g.leader.Peeked(r) {
+			g.learn()
+			return
+		}
 		g.leader.Handle(rank, r)
 		g.phaseChanged(before)
 	}
@@ -275,11 +285,12 @@
 		return
 	}
 	if before == epmap.PhaseInquire && l.Phase == epmap.PhaseSteady {
+		g.inquired = g.e.clock.Now()
 		g.learn()
 	}
 	if before == epmap.PhaseGrant && l.Phase == epmap.PhaseSteady {
 		g.e.log.Info("map switched", "group", g.name, "version", l.Plan.Version)
-		g.inquired = time.Time{}
+		g.peeked = time.Time{}
 	}
 	if l.Phase == epmap.PhaseDeposed {
 		g.e.log.Info("deposed", "group", g.name)
@@ -305,16 +316,19 @@
 		g.stepRate = float64(step-g.lastStep) / d
 	}
 	g.lastStep, g.lastAt = step, now
-	g.inquired = now
+	g.switching = false
 }
 
 // steady decides on a switch after each inquiry, as long as the lease is known to hold.
 func (g *groupLead) steady(now time.Time) {
 	if now.Sub(g.inquired) > inquireEvery {
-		g.switching = false
 		g.leader.Inquire()
 		return
 	}
+	if now.Sub(g.peeked) > peekEvery {
+		g.peeked = now
+		g.sendTo(0, g.leader.Peek())
+	}
 	if g.switching || now.Sub(g.kept) > leaderLease {
 		return
 	}
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -18,8 +18,11 @@
 const (
 	heartbeatEvery = 500 * time.Millisecond
 	watchEvery     = 100 * time.Millisecond
-	// staleAfter is the silence after which an agent gets no new work.
-	staleAfter = 1500 * time.Millisecond
+	// heartbeatLinks is the number of links up to which heartbeats keep their pace; with more they come as much less often,
+	// so that an entry's control traffic stays within its budget.
+	heartbeatLinks = 100
+	// staleBeats is the silence, in heartbeats, after which an agent gets no new work.
+	staleBeats = 3
 	// repeatAfter is how long a link may be down before what may be repeated goes elsewhere.
 	repeatAfter = 300 * time.Millisecond
 	// resumePatience is how long what may not be repeated waits for its agent to come back.
@@ -50,6 +53,9 @@
 	ownAtReport float64
 	downSince   time.Time
 	drainSent   bool
+	group       string
+	rank        int
+	ranks       int
 }
 
 func newPeer(e *Entry, in core.Instance) *peer {
@@ -113,7 +119,9 @@
 	open := p.open()
 	p.mu.Unlock()
 	p.e.log.Debug("agent link up", "agent", p.id, "resumed", len(open))
-	_ = l.Send(&proto.Frame{Heartbeat: p.heartbeat()})
+	first := p.heartbeat()
+	first.First = true
+	_ = l.Send(&proto.Frame{Heartbeat: first})
 	for _, a := range open {
 		if old != l.Peer.Incarnation {
 			a.lose()
@@ -146,14 +154,16 @@
 func (p *peer) watchLoop(ctx context.Context) {
 	t := p.e.clock.NewTicker(watchEvery)
 	defer t.Stop()
-	for i := 0; ; i++ {
+	var last time.Time
+	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.Chan():
 		}
 		p.checkSilence()
-		if i%int(heartbeatEvery/watchEvery) == 0 {
+		if now := p.e.clock.Now(); now.Sub(last) >= p.e.peers.pace() {
+			last = now
 			p.beat()
 		}
 	}
@@ -189,13 +199,13 @@
 	p.mu.Lock()
 	var silence time.Duration
 	if p.link == nil {
-		silence = p.e.clock.Since(p.downSince) + staleAfter - repeatAfter
+		silence = p.e.clock.Since(p.downSince) + p.e.peers.stale() - repeatAfter
 	} else {
 		silence = p.link.Silence()
 	}
 	open := p.open()
 	p.mu.Unlock()
-	if silence < staleAfter {
+	if silence < p.e.peers.stale() {
 		return
 	}
 	for _, a := range open {
@@ -236,6 +246,9 @@
 func (p *peer) takeReport(r *proto.Report) {
 	p.mu.Lock()
 	p.report = r
+	if r.Group != "" {
+		p.group, p.rank, p.ranks = r.Group, r.Rank, r.Ranks
+	}
 	p.reportAt = p.e.clock.Now()
 	p.ownAtReport = p.own
 	l := p.link
@@ -303,7 +316,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.link != nil && p.report != nil && p.report.Healthy && !p.report.Leaving &&
-		!p.listLeaving && !drained[p.id] && p.link.Silence() < staleAfter
+		!p.listLeaving && !drained[p.id] && p.link.Silence() < p.e.peers.stale()
 }
 
 func (p *peer) candidate(withins map[string]time.Duration) route.Candidate {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/lo"
@@ -54,6 +55,7 @@
 	services map[string][]*peer
 	kinds    map[string]core.Kind
 	rows     []core.Instance
+	links    atomic.Int64
 }
 
 func newPeers(e *Entry) *peers {
@@ -115,12 +117,14 @@
 
 func (ps *peers) add(p *peer) {
 	ps.byID[p.id] = p
+	ps.links.Add(1)
 	ps.services[p.service] = append(ps.services[p.service], p)
 }
 
 func (ps *peers) drop(p *peer) {
 	p.cancel()
 	delete(ps.byID, p.id)
+	ps.links.Add(-1)
 	service := p.service
 	ps.services[service] = lo.Without(ps.services[service], p)
 }
@@ -131,6 +135,16 @@
 	return p.link == nil && len(p.attempts) == 0
 }
 
+// pace is the time between two heartbeats on each link.
+func (ps *peers) pace() time.Duration {
+	return max(heartbeatEvery, heartbeatEvery*time.Duration(ps.links.Load())/heartbeatLinks)
+}
+
+// stale is the silence after which an agent gets no new work.
+func (ps *peers) stale() time.Duration {
+	return staleBeats * ps.pace()
+}
+
 func (ps *peers) kind(service string) (core.Kind, bool) {
 	ps.mu.RLock()
 	defer ps.mu.RUnlock()
--- a/proof/once_test.go
+++ b/proof/once_test.go
@@ -215,3 +215,25 @@
 	onlyVerdicts(t, results, caller.Whole, caller.NotRun, caller.Unknown)
 	atMostOnce(t, d, results)
 }
+
+// TestCallsSurviveShortCuts cuts links while calls run that may not be repeated: the links' resuming brings their answers.
+func TestCallsSurviveShortCuts(t *testing.T) {
+	d := launch(t, smallPlan(), deploy.Options{})
+	l := startLoad(9, func(s, n int) sent {
+		return booking(d, s+n, "?ms=200", fmt.Sprintf("cut-%d-%d", s, n), "")
+	})
+	for range 4 {
+		l.atLeast(t, 9)
+		for _, domain := range d.Plan.Domains {
+			for i := range 3 {
+				r := d.AgentRelays[domain][fmt.Sprintf("%s-%02d", plain, i)]
+				r.Set(stand.Break{Cut: true})
+				r.Set(stand.Break{})
+			}
+		}
+	}
+	l.atLeast(t, 9)
+	results := l.end()
+	onlyVerdicts(t, results, caller.Whole)
+	atMostOnce(t, d, results)
+}
--- a/proto/control.go
+++ b/proto/control.go
@@ -17,9 +17,10 @@
 	Healthy     bool        `cbor:"6,keyasint"`
 	RunningCost float64     `cbor:"7,keyasint"`
 	Revision    uint64      `cbor:"8,keyasint,omitempty"`
-	Group       string      `cbor:"9,keyasint,omitempty"`
-	Rank        int         `cbor:"10,keyasint,omitempty"`
-	Ranks       int         `cbor:"11,keyasint,omitempty"`
+	// Group, Rank and Ranks tell the place in a rank group, in the first report on a link only.
+	Group string `cbor:"9,keyasint,omitempty"`
+	Rank  int    `cbor:"10,keyasint,omitempty"`
+	Ranks int    `cbor:"11,keyasint,omitempty"`
 }
 
 // Heartbeat is sent by the dialling side; Floor is the lowest attempt number still open, below which the agent may forget.
@@ -27,6 +28,8 @@
 	Floor    uint64 `cbor:"1,keyasint"`
 	Revision uint64 `cbor:"2,keyasint,omitempty"`
 	Leaving  bool   `cbor:"3,keyasint,omitempty"`
+	// First asks for the part of the report that never changes.
+	First bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Drain orders an agent to leave.
--- a/proto/order.go
+++ b/proto/order.go
@@ -21,6 +21,8 @@
 	Version     uint64    `cbor:"5,keyasint,omitempty"`
 	Step        uint64    `cbor:"6,keyasint,omitempty"`
 	Map         []byte    `cbor:"7,keyasint,omitempty"`
+	// Full asks an inquired rank for its map and the popularity of experts as well, which are large.
+	Full bool `cbor:"8,keyasint,omitempty"`
 }
 
 // OrderReply is a rank's answer to the order with the same fence and sequence number.
--- a/store/etcd.go
+++ b/store/etcd.go
@@ -5,8 +5,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"expvar"
 	"net"
-	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -18,6 +18,9 @@
 	maxConns    = 64
 )
 
+// calls counts what the process asks of the key-value service, a waiting watch as one call.
+var calls = expvar.NewInt("key_value_calls")
+
 // Paths of the JSON gateway.
 const (
 	PathRange  = "/v3/kv/range"
@@ -43,7 +46,6 @@
 type Etcd struct {
 	address string
 	client  *fasthttp.Client
-	calls   atomic.Int64
 }
 
 // NewEtcd returns a store at address, an IP and port; no connection is made until it is used.
@@ -58,11 +60,6 @@
 	}
 }
 
-// Calls returns how many calls were made, a waiting watch counted as one.
-func (e *Etcd) Calls() int64 {
-	return e.calls.Load()
-}
-
 // Get implements Store.
 func (e *Etcd) Get(ctx context.Context, key string) (Value, error) {
 	var resp RangeResponse
@@ -115,7 +112,7 @@
 
 // Watch implements Store.
 func (e *Etcd) Watch(ctx context.Context, key string, after int64, fn func(Value)) error {
-	e.calls.Add(1)
+	calls.Add(1)
 	body, err := json.Marshal(WatchRequest{
 		CreateRequest: WatchCreate{
 			Key:           []byte(key),
@@ -204,7 +201,7 @@
 }
 
 func (e *Etcd) call(ctx context.Context, path string, in, out any) error {
-	e.calls.Add(1)
+	calls.Add(1)
 	body, err := json.Marshal(in)
 	if err != nil {
 		return errs.Wrap(err)
--- a/wire/link.go
+++ b/wire/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"expvar"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,13 @@
 	readTimeout  = 5 * time.Second
 )
 
+// sentBytes and receivedBytes count the payload of all links of the process, work and control together.
+var (
+	sentBytes     = expvar.NewInt("link_bytes_sent")
+	receivedBytes = expvar.NewInt("link_bytes_received")
+	sentFrames    = expvar.NewInt("link_frames_sent")
+)
+
 // ClosedError is returned by Send on a link that has ended or whose peer is too slow.
 type ClosedError struct {
 	Peer string
@@ -44,8 +52,6 @@
 	written  chan struct{}
 	once     sync.Once
 	lastSeen atomic.Int64
-	sent     atomic.Int64
-	received atomic.Int64
 	pending  atomic.Int64
 }
 
@@ -135,7 +141,7 @@
 			return errs.Wrap(err)
 		}
 		l.lastSeen.Store(time.Now().UnixNano())
-		l.received.Add(int64(len(message)))
+		receivedBytes.Add(int64(len(message)))
 		err = proto.Decode(message, func(f *proto.Frame) error {
 			fn(f)
 			return nil
@@ -151,11 +157,6 @@
 	return time.Since(time.Unix(0, l.lastSeen.Load()))
 }
 
-// Bytes returns the payload bytes sent and received on this link.
-func (l *Link) Bytes() (sent, received int64) {
-	return l.sent.Load(), l.received.Load()
-}
-
 // Done is closed when the link has ended.
 func (l *Link) Done() <-chan struct{} {
 	return l.done
@@ -201,7 +202,8 @@
 		if err := l.conn.WriteMessage(websocket.BinaryMessage, buf.Bytes()); err != nil {
 			return
 		}
-		l.sent.Add(int64(buf.Len()))
+		sentBytes.Add(int64(buf.Len()))
+		sentFrames.Add(n)
 		l.pending.Add(-n)
 	}
 }
