--- a/agent/work.go
+++ b/agent/work.go
@@ -75,7 +75,12 @@
 		Due:     now.Add(d.TargetLeft),
 		Expires: r.expires,
 		Cost:    max(d.Cost, 1),
-	}, a.runningCost, a.limiter.Drain())
+	}, queue.Capacity{
+		Running: a.running,
+		Limit:   a.limiter.Limit(),
+		Cost:    a.runningCost,
+		Drain:   a.limiter.Drain(),
+	})
 	a.sched.Unlock()
 	a.shed(shed, core.ReasonTargetMissed)
 	a.schedule()
@@ -202,7 +207,7 @@
 	if a.running >= a.limiter.Limit() {
 		return nil
 	}
-	it, ok := a.queue.Pop()
+	it, ok := a.queue.Pop(a.clock.Now())
 	if !ok {
 		return nil
 	}
--- /dev/null
+++ b/cmd/policy/maps.go
@@ -0,0 +1,5 @@
+package main
+
+import "os"
+
+func maps(*os.File, string) {}
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -326,6 +326,8 @@
 		ID:         p.id,
 		Domain:     p.domain,
 		Running:    p.report.RunningCost,
+		InUse:      p.report.Running,
+		Limit:      p.report.Limit,
 		Drain:      p.report.Drain,
 		Unreported: p.own - p.ownAtReport,
 		Own:        p.own,
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -10,6 +10,7 @@
 	"geraniumpass/check"
 	"geraniumpass/core"
 	"geraniumpass/proto"
+	"geraniumpass/queue"
 	"geraniumpass/retry"
 	"geraniumpass/route"
 )
@@ -136,7 +137,7 @@
 		refusal.RetryAfter = retry.After(0, random())
 		return nil, refusal
 	}
-	if !r.sent && len(r.tried) == 0 && choice.Wait > r.due().Sub(e.clock.Now()) {
+	if !r.sent && len(r.tried) == 0 && choice.Wait > time.Duration(float64(r.due().Sub(e.clock.Now()))*queue.Headroom) {
 		refusal := core.NotRun(core.ReasonTargetMissed, "the class's target would be missed")
 		refusal.RetryAfter = retry.After(choice.Wait, random())
 		return nil, refusal
--- a/queue/class.go
+++ b/queue/class.go
@@ -9,6 +9,9 @@
 	n        int
 	cost     float64
 	clock    float64
+	// within is the time that the latest item had left, which is what the class's target allows.
+	within time.Duration
+	rate   rate
 }
 
 type accountQueue struct {
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -18,16 +18,22 @@
 	return &Queue{classes: make(map[string]*classQueue)}
 }
 
-// Push admits an item, or sheds load when drain, in cost units a second, can't serve it by its due time.
+// Headroom is the share of the time to its due moment in which an item must be predicted to start. The rest keeps the looser
+// classes ahead of their due moments, so that in overload they don't come before the tighter ones.
+const Headroom = 0.75
+
+// Push admits an item, or sheds load when the capacity doesn't let it start in time.
 // It returns the items shed, which never ran: the newest of the account that holds most of the class, or the new item.
-func (q *Queue) Push(now time.Time, it Item, running, drain float64) []Item {
+func (q *Queue) Push(now time.Time, it Item, capacity Capacity) []Item {
 	q.seq++
 	it.seq = q.seq
 	c := q.class(it.Class)
+	c.within = it.Due.Sub(now)
 	c.push(it)
 	q.n++
 	q.cost += it.Cost
-	if drain <= 0 || q.wait(it, running, drain) <= it.Due.Sub(now) {
+	left := time.Duration(float64(it.Due.Sub(now)) * Headroom)
+	if capacity.Drain <= 0 || q.wait(now, it, capacity) <= left {
 		return nil
 	}
 	victim, ok := c.shed(it)
@@ -39,12 +45,23 @@
 	return []Item{victim}
 }
 
-// wait predicts how long it is until an item starts: all that is due earlier goes first.
-func (q *Queue) wait(it Item, running, drain float64) time.Duration {
-	ahead := running/2 + q.Ahead(it.Due) - it.Cost
-	return time.Duration(max(ahead, 0) / drain * float64(time.Second))
+// wait predicts how long it is until an item starts: all that is due earlier goes first, and what comes meanwhile of tighter classes.
+func (q *Queue) wait(now time.Time, it Item, capacity Capacity) time.Duration {
+	own := it.Due.Sub(now)
+	left := capacity.Drain
+	for _, c := range q.classes {
+		if c.name != it.Class && c.within < own {
+			left -= c.rate.at(now)
+		}
+	}
+	left = max(left, capacity.Drain*leastShare)
+	ahead := max(q.Ahead(it.Due)-it.Cost, 0)
+	return capacity.Slot() + time.Duration(ahead/left*float64(time.Second))
 }
 
+// leastShare keeps the prediction finite while tighter classes take all.
+const leastShare = 0.05
+
 // Ahead returns the queued cost that is due at or before a moment.
 func (q *Queue) Ahead(due time.Time) float64 {
 	sum := 0.0
@@ -55,7 +72,7 @@
 }
 
 // Pop takes the next item to run: of the class whose oldest item is due first, the account served least.
-func (q *Queue) Pop() (Item, bool) {
+func (q *Queue) Pop(now time.Time) (Item, bool) {
 	var best *classQueue
 	var due time.Time
 	for _, c := range q.classes {
@@ -68,6 +85,7 @@
 		return Item{}, false
 	}
 	it := best.pop()
+	best.rate.add(now, it.Cost)
 	q.removed(it)
 	return it, true
 }
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -1,6 +1,10 @@
 package route
 
-import "time"
+import (
+	"time"
+
+	"geraniumpass/queue"
+)
 
 // Candidate is what an entry knows of one upstream.
 type Candidate struct {
@@ -9,6 +13,9 @@
 	// Queued is the reported waiting cost by class, and Running the cost in progress.
 	Queued  []ClassCost
 	Running float64
+	// InUse attempts run of at most Limit.
+	InUse int
+	Limit int
 	// Drain is the reported cost units a second, zero while unknown.
 	Drain float64
 	// Unreported is the cost that this entry has sent or seen finished since the report was made.
@@ -27,7 +34,7 @@
 
 // Ahead returns the cost that goes before a request whose target allows within.
 func (c *Candidate) Ahead(within time.Duration) float64 {
-	sum := c.Running/2 + max(c.Unreported, 0)
+	sum := max(c.Unreported, 0)
 	for _, q := range c.Queued {
 		if q.Within <= within {
 			sum += q.Cost
@@ -41,5 +48,29 @@
 	if c.Drain <= 0 {
 		return 0
 	}
-	return time.Duration(c.Ahead(within) / c.Drain * float64(time.Second))
+	slot := queue.Capacity{
+		Running: c.InUse,
+		Limit:   c.Limit,
+		Cost:    c.Running,
+		Drain:   c.Drain,
+	}
+	ahead := c.Ahead(within)
+	if c.InUse < c.Limit {
+		// What this entry has sent since the report fills the free slots first.
+		ahead = max(0, ahead-c.free())
+	}
+	return slot.Slot() + time.Duration(ahead/c.Drain*float64(time.Second))
+}
+
+// free is the cost that the free slots can hold, judged by what runs in the others.
+func (c *Candidate) free() float64 {
+	if c.InUse == 0 {
+		return float64(c.Limit)
+	}
+	return c.Running / float64(c.InUse) * float64(c.Limit-c.InUse)
+}
+
+// load compares candidates that nobody has to wait for.
+func (c *Candidate) load(within time.Duration) float64 {
+	return c.Ahead(within) + c.Running + c.Own
 }
--- a/route/picker.go
+++ b/route/picker.go
@@ -77,7 +77,7 @@
 	}
 	a, b := &candidates[i], &candidates[j]
 	wa, wb := a.Wait(r.Within), b.Wait(r.Within)
-	if wb < wa || wb == wa && b.Ahead(r.Within)+b.Own < a.Ahead(r.Within)+a.Own {
+	if wb < wa || wb == wa && b.load(r.Within) < a.load(r.Within) {
 		return Choice{
 			Index: j,
 			Wait:  wb,
@@ -98,7 +98,7 @@
 	var top uint64
 	for i := range candidates {
 		c := &candidates[i]
-		sum += c.Ahead(r.Within) + c.Own
+		sum += c.load(r.Within)
 		if c.Domain != p.Domain {
 			continue
 		}
@@ -111,7 +111,7 @@
 	}
 	mean := sum / float64(len(candidates))
 	c := &candidates[best]
-	if c.Ahead(r.Within)+c.Own > affinityBound*mean+affinityFloor*meanCost(candidates) {
+	if c.load(r.Within) > affinityBound*mean+affinityFloor*meanCost(candidates) {
 		return Choice{}, false
 	}
 	wait := c.Wait(r.Within)
