--- a/agent/work.go
+++ b/agent/work.go
@@ -72,15 +72,11 @@
 		ID:      r.item,
 		Class:   d.Class,
 		Account: d.Account,
+		Within:  d.Within,
 		Due:     now.Add(d.TargetLeft),
 		Expires: r.expires,
 		Cost:    max(d.Cost, 1),
-	}, queue.Capacity{
-		Running: a.running,
-		Limit:   a.limiter.Limit(),
-		Cost:    a.runningCost,
-		Drain:   a.limiter.Drain(),
-	})
+	}, a.capacity())
 	a.sched.Unlock()
 	a.shed(shed, core.ReasonTargetMissed)
 	a.schedule()
@@ -204,10 +200,7 @@
 func (a *Agent) next() *run {
 	a.sched.Lock()
 	defer a.sched.Unlock()
-	if a.running >= a.limiter.Limit() {
-		return nil
-	}
-	it, ok := a.queue.Pop(a.clock.Now())
+	it, ok := a.queue.Pop(a.clock.Now(), a.capacity())
 	if !ok {
 		return nil
 	}
@@ -294,6 +287,16 @@
 	})
 }
 
+// capacity is what the upstream can take now; the caller holds sched.
+func (a *Agent) capacity() queue.Capacity {
+	return queue.Capacity{
+		Running: a.running,
+		Limit:   a.limiter.Limit(),
+		Cost:    a.runningCost,
+		Drain:   a.limiter.Drain(),
+	}
+}
+
 // backlogTime is how long the queue takes to drain; the caller holds sched.
 func (a *Agent) backlogTime() time.Duration {
 	drain := a.limiter.Drain()
--- a/entry/request.go
+++ b/entry/request.go
@@ -59,6 +59,7 @@
 		TargetLeft: r.due().Sub(now),
 		ResumeFrom: r.delivered,
 		Cost:       r.cost,
+		Within:     r.class.Target.Within.Duration,
 	}
 }
 
--- a/proto/work.go
+++ b/proto/work.go
@@ -31,6 +31,8 @@
 	TargetLeft  time.Duration `cbor:"15,keyasint"`
 	ResumeFrom  uint32        `cbor:"16,keyasint,omitempty"`
 	Cost        float64       `cbor:"17,keyasint,omitempty"`
+	// Within is the time that the class's target allows.
+	Within time.Duration `cbor:"19,keyasint,omitempty"`
 	// ClaimFor is how long the claim and its answer must be kept.
 	ClaimFor time.Duration `cbor:"18,keyasint,omitempty"`
 }
--- a/queue/class.go
+++ b/queue/class.go
@@ -9,7 +9,7 @@
 	n        int
 	cost     float64
 	clock    float64
-	// within is the time that the latest item had left, which is what the class's target allows.
+	// within is the time that the class's target allows.
 	within time.Duration
 	rate   rate
 }
@@ -110,29 +110,3 @@
 		c.cost = 0
 	}
 }
-
-func (c *classQueue) earliest() (time.Time, bool) {
-	var due time.Time
-	found := false
-	for _, a := range c.accounts {
-		if d := a.items[0].Due; !found || d.Before(due) {
-			due, found = d, true
-		}
-	}
-	return due, found
-}
-
-func (c *classQueue) ahead(due time.Time) float64 {
-	if c.n == 0 {
-		return 0
-	}
-	sum := 0.0
-	for _, a := range c.accounts {
-		for _, it := range a.items {
-			if !it.Due.After(due) {
-				sum += it.Cost
-			}
-		}
-	}
-	return sum
-}
--- a/queue/item.go
+++ b/queue/item.go
@@ -7,6 +7,8 @@
 	ID      uint64
 	Class   string
 	Account string
+	// Within is the time that the class's target allows; tighter classes go first.
+	Within time.Duration
 	// Due is the moment by which the class's target wants the attempt answered.
 	Due time.Time
 	// Expires is the caller's deadline; an item that reaches it is given up.
--- a/queue/limiter.go
+++ b/queue/limiter.go
@@ -9,7 +9,9 @@
 	// tolerance is how much slower than unloaded a unit of work may get before the limit goes down.
 	tolerance = 2.0
 	backOff   = 0.9
-	smoothing = 0.1
+	// enoughSamples are needed before the limit changes again.
+	enoughSamples = 4
+	smoothing     = 0.1
 	// baselineDrift lets the unloaded time follow an upstream that has become slower for good, by this share a sample.
 	baselineDrift = 0.0005
 )
@@ -19,7 +21,10 @@
 	limit    float64
 	baseline float64
 	unit     float64
-	changed  time.Time
+	// changed is when the limit last changed; recent is the mean of what began after that.
+	changed time.Time
+	recent  float64
+	samples int
 }
 
 // NewLimiter returns a limiter that has seen nothing.
@@ -35,19 +40,30 @@
 	}
 	l.unit += smoothing * (unit - l.unit)
 	l.baseline = min(unit, l.baseline*(1+baselineDrift))
-	if now.Sub(l.changed) < took/2 {
+	if now.Add(-took).Before(l.changed) {
+		// It began under another limit: judged by it, the limit would be lowered again and again for one and the same crowd.
+		return
+	}
+	l.samples++
+	l.recent += (unit - l.recent) / float64(l.samples)
+	if l.samples < enoughSamples {
 		return
 	}
 	switch {
-	case l.unit > tolerance*l.baseline:
-		l.limit = max(minLimit, l.limit*backOff)
-		l.changed = now
+	case l.recent > tolerance*l.baseline:
+		l.set(now, max(minLimit, l.limit*backOff))
 	case waiting:
-		l.limit = min(maxLimit, l.limit+max(1, l.limit/8))
-		l.changed = now
+		l.set(now, min(maxLimit, l.limit+max(1, l.limit/8)))
 	}
 }
 
+func (l *Limiter) set(now time.Time, limit float64) {
+	l.limit = limit
+	l.changed = now
+	l.recent = 0
+	l.samples = 0
+}
+
 // Limit returns how many attempts may run at once.
 func (l *Limiter) Limit() int {
 	return int(l.limit)
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"math"
 	"sort"
 	"time"
 )
@@ -28,7 +29,7 @@
 	q.seq++
 	it.seq = q.seq
 	c := q.class(it.Class)
-	c.within = it.Due.Sub(now)
+	c.within = it.Within
 	c.push(it)
 	q.n++
 	q.cost += it.Cost
@@ -45,43 +46,44 @@
 	return []Item{victim}
 }
 
-// wait predicts how long it is until an item starts: all that is due earlier goes first, and what comes meanwhile of tighter classes.
+// wait predicts how long it is until an item starts: its class and the tighter ones go first, also with what comes of those meanwhile.
 func (q *Queue) wait(now time.Time, it Item, capacity Capacity) time.Duration {
-	own := it.Due.Sub(now)
 	left := capacity.Drain
 	for _, c := range q.classes {
-		if c.name != it.Class && c.within < own {
+		if c.name != it.Class && c.within < it.Within {
 			left -= c.rate.at(now)
 		}
 	}
 	left = max(left, capacity.Drain*leastShare)
-	ahead := max(q.Ahead(it.Due)-it.Cost, 0)
+	ahead := max(q.Ahead(it.Within)-it.Cost, 0)
 	return capacity.Slot() + time.Duration(ahead/left*float64(time.Second))
 }
 
 // leastShare keeps the prediction finite while tighter classes take all.
 const leastShare = 0.05
 
-// Ahead returns the queued cost that is due at or before a moment.
-func (q *Queue) Ahead(due time.Time) float64 {
+// Ahead returns the queued cost of the classes whose targets allow no more than within.
+func (q *Queue) Ahead(within time.Duration) float64 {
 	sum := 0.0
 	for _, c := range q.classes {
-		sum += c.ahead(due)
+		if c.within <= within {
+			sum += c.cost
+		}
 	}
 	return sum
 }
 
-// Pop takes the next item to run: of the class whose oldest item is due first, the account served least.
-func (q *Queue) Pop(now time.Time) (Item, bool) {
+// Pop takes the next item to run: of the class with the tightest target, the account served least.
+// In overload the order of due moments would let late items of loose classes go before tight ones, and miss both.
+// Some of the limit is kept free of loose classes, for what tighter ones are used to need: a long attempt would hold it up.
+func (q *Queue) Pop(now time.Time, capacity Capacity) (Item, bool) {
 	var best *classQueue
-	var due time.Time
 	for _, c := range q.classes {
-		d, ok := c.earliest()
-		if ok && (best == nil || d.Before(due) || d.Equal(due) && c.name < best.name) {
-			best, due = c, d
+		if c.n > 0 && (best == nil || c.within < best.within || c.within == best.within && c.name < best.name) {
+			best = c
 		}
 	}
-	if best == nil {
+	if best == nil || capacity.Running+q.reserve(now, best, capacity) >= capacity.Limit {
 		return Item{}, false
 	}
 	it := best.pop()
@@ -90,6 +92,33 @@
 	return it, true
 }
 
+// reserveFactor is how many times their mean need the tighter classes are kept room for, and reserveMost bounds it as a part of the limit.
+const (
+	reserveFactor = 2
+	reserveMost   = 0.5
+)
+
+// reserve is the part of the limit that a class must leave to the tighter ones.
+func (q *Queue) reserve(now time.Time, c *classQueue, capacity Capacity) int {
+	if capacity.Drain <= 0 {
+		return 0
+	}
+	unit := float64(capacity.Limit) / capacity.Drain
+	need := 0.0
+	for _, other := range q.classes {
+		if other.within < c.within {
+			need += other.rate.at(now) * unit
+		}
+	}
+	if need < leastNeed {
+		return 0
+	}
+	return int(math.Ceil(min(need*reserveFactor, float64(capacity.Limit)*reserveMost)))
+}
+
+// leastNeed is the mean number of slots below which nothing is kept free.
+const leastNeed = 0.05
+
 // Expire removes and returns the items whose caller's deadline has passed.
 func (q *Queue) Expire(now time.Time) []Item {
 	return q.take(func(it Item) bool { return !it.Expires.After(now) })
--- a/trial/upstream.go
+++ b/trial/upstream.go
@@ -100,20 +100,16 @@
 	}
 	c := u.w.scenario.Classes[j.class]
 	u.jobs[j.id] = j
-	drain := 0.0
-	if u.d.shed {
-		drain = u.limiter.Drain()
-	}
-	capacity := queue.Capacity{
-		Running: u.running,
-		Limit:   u.limit(),
-		Cost:    u.cost,
-		Drain:   drain,
+	capacity := u.capacity()
+	drain := capacity.Drain
+	if !u.d.shed {
+		capacity.Drain = 0
 	}
 	gone := u.queue.Push(u.w.time(), queue.Item{
 		ID:      j.id,
 		Class:   c.Name,
 		Account: j.account,
+		Within:  c.Within,
 		Due:     epoch.Add(j.came + c.Within),
 		Expires: epoch.Add(j.came + time.Hour),
 		Cost:    j.cost,
@@ -134,6 +130,19 @@
 	return knee
 }
 
+func (u *upstream) capacity() queue.Capacity {
+	c := queue.Capacity{
+		Running: u.running,
+		Limit:   u.limit(),
+		Cost:    u.cost,
+		Drain:   u.limiter.Drain(),
+	}
+	if unit := u.limiter.Unit(); u.d.fixedLimit > 0 && unit > 0 {
+		c.Drain = float64(c.Limit) / unit
+	}
+	return c
+}
+
 func (u *upstream) next() *job {
 	if !u.d.byTarget {
 		if len(u.fifo) == 0 {
@@ -143,7 +152,7 @@
 		u.fifo = u.fifo[1:]
 		return j
 	}
-	it, ok := u.queue.Pop(u.w.time())
+	it, ok := u.queue.Pop(u.w.time(), u.capacity())
 	if !ok {
 		return nil
 	}
