Let the unloaded time drift only while an upstream is not crowded

Cause: the baseline rose with every sample, so that a long overload raised the limit without end. Found by TestLimiterFindsTheKnee: limit 187 at a knee of 16 after 4,000 attempts; now it stays between the knee and thrice that.

--- a/queue/limiter.go
+++ b/queue/limiter.go
@@ -9,6 +9,8 @@
 	// tolerance is how much slower than unloaded a unit of work may get before the limit goes down.
 	tolerance = 2.0
 	backOff   = 0.9
+	// lonely is the limit at which attempts hardly slow each other down.
+	lonely = 2
 	// enoughSamples are needed before the limit changes again.
 	enoughSamples = 4
 	smoothing     = 0.1
@@ -39,7 +41,11 @@
 		l.unit, l.baseline = unit, unit
 	}
 	l.unit += smoothing * (unit - l.unit)
-	l.baseline = min(unit, l.baseline*(1+baselineDrift))
+	l.baseline = min(unit, l.baseline)
+	if !waiting || l.limit <= lonely {
+		// Only an upstream that isn't crowded shows how fast it is unloaded.
+		l.baseline = min(unit, l.baseline*(1+baselineDrift))
+	}
 	if now.Add(-took).Before(l.changed) {
 		// It began under another limit: judged by it, the limit would be lowered again and again for one and the same crowd.
 		return
