--- a/cmd/policy/main.go
+++ b/cmd/policy/main.go
@@ -19,11 +19,14 @@
 func main() {
 	app := kingpin.New("policy", "Measures routing, admission and rebalancing against baselines.")
 	out := app.Flag("out", "Folder for tables and plots.").Default("out").String()
+	mapsOnly := app.Flag("maps-only", "Leave the targets out.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	must(os.MkdirAll(*out, 0o755))
 	f, err := os.Create(filepath.Join(*out, "policy.txt"))
 	must(err)
-	targets(f)
+	if !*mapsOnly {
+		targets(f)
+	}
 	maps(f, *out)
 	must(f.Close())
 	b, err := os.ReadFile(f.Name())
--- a/cmd/policy/maps.go
+++ b/cmd/policy/maps.go
@@ -1,5 +1,73 @@
 package main
 
-import "os"
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"text/tabwriter"
+	"time"
 
-func maps(*os.File, string) {}
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"geraniumpass/place"
+	"geraniumpass/trial"
+)
+
+const (
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 12 * vg.Centimeter
+	perHour    = 3600
+)
+
+// The two users' targets, and those between and beside them that make the curve.
+var mapPolicies = []trial.MapPolicy{
+	{Name: "never"},
+	{Name: "timer 60s, full", Timer: time.Minute},
+	{Name: "timer 60s, improve", Timer: time.Minute, TimerImproves: true},
+	{Name: "timer 10s, improve", Timer: 10 * time.Second, TimerImproves: true},
+	{Name: "reverbline", Target: &place.Target{Skew: 0.1, MovesPerHour: 600}},
+	{Name: "skew 0.2, 200 an hour", Target: &place.Target{Skew: 0.2, MovesPerHour: 200}},
+	{Name: "trinidad", Target: &place.Target{Skew: 0.3, MovesPerHour: 60, HoldInSurge: true}},
+	{Name: "skew 0.5, 20 an hour", Target: &place.Target{Skew: 0.5, MovesPerHour: 20}},
+}
+
+// maps plays the drifts of popularity and draws skew against cost for each.
+func maps(f *os.File, out string) {
+	w := tabwriter.NewWriter(f, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "\nDRIFT\tPOLICY\tSKEW P50\tSKEW P95\tSPREAD P95\tCOPIES/H\tSWITCHES\tIN SURGE\tLONGEST DECISION")
+	for i, s := range trial.MapScenarios() {
+		points := make(plotter.XYs, 0, len(mapPolicies))
+		names := make([]string, 0, len(mapPolicies))
+		for _, p := range mapPolicies {
+			r := trial.RunMaps(s, p, seed)
+			cost := float64(r.Copies) / s.Lasts.Seconds() * perHour
+			fmt.Fprintf(w, "%s\t%s\t%.3f\t%.3f\t%.3f\t%.0f\t%d\t%d\t%s\n", r.Scenario, r.Policy, r.SkewP50, r.SkewP95, r.SpreadP95, cost, r.Switches, r.InSurge, r.Slowest.Round(10*time.Microsecond))
+			points = append(points, plotter.XY{X: cost, Y: r.SkewP95})
+			names = append(names, p.Name)
+		}
+		must(draw(filepath.Join(out, fmt.Sprintf("maps_%d.png", i)), s.Name, points, names))
+	}
+	must(w.Flush())
+}
+
+func draw(file, title string, points plotter.XYs, names []string) error {
+	p := plot.New()
+	p.Title.Text = "Skew against cost: " + title
+	p.X.Label.Text = "expert copies an hour"
+	p.Y.Label.Text = "load of the slowest rank above the mean, p95"
+	scatter, err := plotter.NewScatter(points)
+	if err != nil {
+		return err
+	}
+	labels, err := plotter.NewLabels(plotter.XYLabels{
+		XYs:    points,
+		Labels: names,
+	})
+	if err != nil {
+		return err
+	}
+	p.Add(plotter.NewGrid(), scatter, labels)
+	return p.Save(plotWidth, plotHeight, file)
+}
--- a/place/improve.go
+++ b/place/improve.go
@@ -11,12 +11,22 @@
 // minGain is the least relative relief of the hottest rank that is worth a copy.
 const minGain = 0.002
 
-// action is one change of a placement: a copy of expert goes to rank to, in the place of evicted there; with swap the hot rank gives expert away and takes evicted.
+// kind tells the ways to relieve the hot rank of an expert.
+type kind uint8
+
+const (
+	// kindCopy puts a further copy on another rank, so that the hot one keeps a smaller share.
+	kindCopy kind = iota
+	// kindSwap exchanges it for a lighter expert.
+	kindSwap
+)
+
+// action is one change of a placement: rank to takes a copy of expert, in the place of evicted there unless that is negative.
 type action struct {
+	kind    kind
 	expert  int
 	to      int
 	evicted int
-	swap    bool
 	copies  int
 	peak    float64
 }
@@ -42,7 +52,7 @@
 		}
 		a, ok := im.best(hot, maxCopies-copies)
 		if !ok {
-			break
+			return orAnew(p, im.p, load, copies, maxCopies)
 		}
 		im.apply(hot, a)
 		copies += a.copies
@@ -50,6 +60,19 @@
 	return im.p, copies
 }
 
+// orAnew places everything anew when no single action helps any more, if that is allowed and reaches clearly less.
+func orAnew(p, improved *Placement, load []float64, copies, maxCopies int) (*Placement, int) {
+	anew := Align(p, Full(load, p.Ranks, p.Slots))
+	n := p.Copies(anew, -1)
+	if n > maxCopies || 1+anew.Skew(load) > (1+improved.Skew(load))*(1-anewGain) {
+		return improved, copies
+	}
+	return anew, n
+}
+
+// anewGain is the least relative gain for which everything is placed anew.
+const anewGain = 0.02
+
 func newImprover(p *Placement, load []float64) *improver {
 	im := &improver{
 		p:     p.Clone(),
@@ -139,26 +162,31 @@
 			continue
 		}
 		grown := im.share(x, m-1) - im.share(x, m)
-		peak := max(hotLoad, im.ranks[cold]-im.share(x, m)+after)
-		for _, r := range im.p.Experts[x] {
-			switch r {
-			case cold:
-			case hot:
-				peak = max(peak, hotLoad+grown)
-			default:
-				peak = max(peak, im.ranks[r]+grown)
-			}
-		}
 		consider(action{
 			expert:  e,
 			to:      cold,
 			evicted: x,
 			copies:  1,
-			peak:    peak,
+			peak:    im.peakWithout(x, cold, hot, hotLoad, im.ranks[cold]-im.share(x, m)+after, grown),
 		})
 	}
 }
 
+// peakWithout is the highest load of the ranks that an action touches which takes a copy of x from the cold rank.
+func (im *improver) peakWithout(x, cold, hot int, hotLoad, coldLoad, grown float64) float64 {
+	peak := max(hotLoad, coldLoad)
+	for _, r := range im.p.Experts[x] {
+		switch r {
+		case cold:
+		case hot:
+			peak = max(peak, hotLoad+grown)
+		default:
+			peak = max(peak, im.ranks[r]+grown)
+		}
+	}
+	return peak
+}
+
 // trySwaps considers an exchange of e against a lighter expert of the cold rank.
 func (im *improver) trySwaps(e, hot, cold int, consider func(action)) {
 	we := im.share(e, len(im.p.Experts[e]))
@@ -171,7 +199,7 @@
 			expert:  e,
 			to:      cold,
 			evicted: x,
-			swap:    true,
+			kind:    kindSwap,
 			copies:  2,
 			peak:    max(im.ranks[hot]-we+wx, im.ranks[cold]-wx+we),
 		})
@@ -179,17 +207,14 @@
 }
 
 func (im *improver) apply(hot int, a action) {
-	if a.swap {
-		im.remove(a.expert, hot)
-		im.remove(a.evicted, a.to)
-		im.add(a.expert, a.to)
-		im.add(a.evicted, hot)
-		return
-	}
 	if a.evicted >= 0 {
 		im.remove(a.evicted, a.to)
 	}
 	im.add(a.expert, a.to)
+	if a.kind == kindSwap {
+		im.remove(a.expert, hot)
+		im.add(a.evicted, hot)
+	}
 }
 
 func (im *improver) add(e, rank int) {
--- a/place/rebalancer.go
+++ b/place/rebalancer.go
@@ -9,7 +9,7 @@
 
 const (
 	// halfLife is the time in which a change of popularity is half believed.
-	halfLife = 20 * time.Second
+	halfLife = 5 * time.Second
 	// reach is how far below the target an improvement goes, so that the next small drift needs no move.
 	reach = 0.7
 	// burstShare is the part of an hour's moves that may be made at once.
