--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -353,3 +353,24 @@
 		t.Errorf("ran %d times, want once", n)
 	}
 }
+
+func TestClosedAttemptDoesNotHoldUpAStop(t *testing.T) {
+	up := &fakeUpstream{runs: make(map[string]int), parts: 1}
+	a, _ := startAgent(t, up)
+	l := dial(t, a, wire.RoleEntry, 7)
+	l.send(t, dispatch(a, 1, ""))
+	l.next(t)
+	l.next(t)
+	if !a.unread() {
+		t.Fatal("the answer is not acknowledged, so that it must be owed")
+	}
+	// The entry closed the attempt while its link was down: neither an acknowledgement nor a cancel came.
+	l.send(t, &proto.Frame{Heartbeat: &proto.Heartbeat{Floor: 2}})
+	end := time.Now().Add(testLimit)
+	for a.unread() {
+		if time.Now().After(end) {
+			t.Fatal("a closed attempt is still owed")
+		}
+		l.sync(t)
+	}
+}
--- a/agent/session.go
+++ b/agent/session.go
@@ -13,10 +13,15 @@
 type sessions struct {
 	mu    sync.RWMutex
 	links map[ledger.Session]*wire.Link
+	// floors holds the lowest attempt number that each session still has open.
+	floors map[ledger.Session]uint64
 }
 
 func newSessions() *sessions {
-	return &sessions{links: make(map[ledger.Session]*wire.Link)}
+	return &sessions{
+		links:  make(map[ledger.Session]*wire.Link),
+		floors: make(map[ledger.Session]uint64),
+	}
 }
 
 func sessionOf(l *wire.Link) ledger.Session {
@@ -37,9 +42,23 @@
 	defer s.mu.Unlock()
 	if s.links[sessionOf(l)] == l {
 		delete(s.links, sessionOf(l))
+		delete(s.floors, sessionOf(l))
 	}
 }
 
+func (s *sessions) settle(of ledger.Session, floor uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.floors[of] = max(s.floors[of], floor)
+}
+
+// settled returns true when the entry has closed an attempt, which it may have done while its link was down.
+func (s *sessions) settled(k ledger.Key) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return k.N < s.floors[k.Session]
+}
+
 // send hands a frame to the session's link; without one it is dropped, and resuming brings it later.
 func (s *sessions) send(to ledger.Session, f *proto.Frame) {
 	s.mu.RLock()
--- a/agent/work.go
+++ b/agent/work.go
@@ -135,10 +135,16 @@
 		a.refuse(key, "", core.OutcomeNotRun, core.ReasonCancelled, 0)
 		return
 	}
-	if r == nil || !r.detach(key) {
+	if r == nil {
+		return
+	}
+	last := r.detach(key)
+	if key != r.key || r.dispatch.ClaimKey == "" {
+		a.runs.remove(key)
+	}
+	if !last {
 		return
 	}
-	a.runs.remove(key)
 	// What may not run twice is left to finish: a repeat with the same key is owed its answer.
 	if r.dispatch.Idempotent && !r.ended() {
 		r.giveUp()
@@ -272,10 +278,15 @@
 	a.shed(gone, core.ReasonDeadline)
 }
 
-// abandon gives up idempotent attempts whose entry has been gone for long.
+// abandon gives up idempotent attempts that their entry has closed, or whose entry has been gone for long.
 func (a *Agent) abandon() {
 	now := a.clock.Now()
 	a.runs.each(func(r *run) {
+		for _, k := range r.keys() {
+			if a.sessions.settled(k) {
+				a.cancel(k)
+			}
+		}
 		if !r.unread(now, a.sessions) || r.dispatch.ClaimKey != "" {
 			return
 		}
--- a/stand/keyvalue.go
+++ b/stand/keyvalue.go
@@ -97,12 +97,14 @@
 	return nil
 }
 
-// EndLeases lets every lease lapse now.
-func (kv *KeyValue) EndLeases() {
+// EndLeases lets every lease lapse now that lasts at most longest, as if its holder had been paused for that long.
+func (kv *KeyValue) EndLeases(longest time.Duration) {
 	kv.mu.Lock()
 	defer kv.mu.Unlock()
 	for _, l := range kv.leases {
-		l.ends = time.Time{}
+		if l.ttl <= longest {
+			l.ends = time.Time{}
+		}
 	}
 }
 
