--- a/cmd/policy/main.go
+++ b/cmd/policy/main.go
@@ -51,14 +51,14 @@
 				if lag != lags[1] && p != trial.Product && p != trial.TwoChoices {
 					continue
 				}
-				print(w, trial.Run(s, p, lag, seed))
+				printRows(w, trial.Run(s, p, lag, seed))
 			}
 		}
 	}
 	must(w.Flush())
 }
 
-func print(w *tabwriter.Writer, r trial.Result) {
+func printRows(w *tabwriter.Writer, r trial.Result) {
 	for _, c := range r.Classes {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%.1f\t%s\t%d\t%.3f\t%s\t%s\t%d\t%.3f\t%s\n", r.Scenario, r.Lag, r.Policy, r.Useful, c.Class, c.Sent, c.OnTime,
 			c.P95.Round(time.Millisecond), c.P99.Round(time.Millisecond), c.Refusals, c.Unfairness, c.Recovery)
--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,146 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+
+	"geraniumpass/check"
+	"geraniumpass/proto"
+	"geraniumpass/setup"
+)
+
+func target(within time.Duration) Target {
+	return Target{
+		Measure: MeasureWhole,
+		Within:  setup.Duration{Duration: within},
+		Percent: 95,
+	}
+}
+
+// chain returns the documents of revisions 0 to n, each a change further.
+func chain(t interface{ Fatal(...any) }, n int) []*Document {
+	docs := []*Document{{}}
+	for i := range n {
+		tg := target(time.Duration(i+1) * time.Second)
+		op := Op{Kind: OpSetClass, Class: &Class{Name: "lookup", Target: tg}}
+		next, err := Apply(docs[i], Record{ID: fmt.Sprint("change ", i), Revision: uint64(i + 1), Who: "test", Ops: []Op{op}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		short, _ := Trim(next)
+		docs = append(docs, short)
+	}
+	return docs
+}
+
+func TestHolderOnlyMovesForward(t *testing.T) {
+	check.SetFatal(true)
+	docs := chain(t, 400)
+	h := NewHolder(clockwork.NewFakeClock())
+	rapid.Check(t, func(t *rapid.T) {
+		before := h.Document().Revision
+		doc := docs[rapid.IntRange(0, len(docs)-1).Draw(t, "revision")]
+		taken := h.Offer(doc)
+		if taken != (doc.Revision > before) || h.Document().Revision != max(before, doc.Revision) {
+			t.Fatalf("held %d, was offered %d, holds %d", before, doc.Revision, h.Document().Revision)
+		}
+	})
+}
+
+func TestOneRevisionWithTwoContentsIsAViolation(t *testing.T) {
+	check.SetFatal(false)
+	defer check.SetFatal(true)
+	docs := chain(t, 2)
+	h := NewHolder(clockwork.NewFakeClock())
+	h.Offer(docs[2])
+	other := *docs[2]
+	other.Records = []Record{{ID: "another"}}
+	before := check.Violations(check.ConfigForward)
+	h.Offer(&other)
+	if check.Violations(check.ConfigForward) != before+1 {
+		t.Error("two contents of one revision were not noticed")
+	}
+}
+
+// sender takes the other side's frames into a holder.
+type sender struct {
+	h *Holder
+}
+
+func (s sender) Send(f *proto.Frame) error {
+	return Take(s.h, f.Config)
+}
+
+func TestExchangeBringsAnyHolderUp(t *testing.T) {
+	docs := chain(t, 400)
+	tests := []struct {
+		name string
+		have int
+	}{
+		{name: "nothing", have: 0},
+		{name: "records are gone", have: 10},
+		{name: "records are there", have: 390},
+		{name: "the newest", have: 400},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			newest, behind := NewHolder(clockwork.NewFakeClock()), NewHolder(clockwork.NewFakeClock())
+			newest.Offer(docs[400])
+			behind.Offer(docs[tt.have])
+			Answer(newest, sender{h: behind}, &proto.ConfigAsk{Have: uint64(tt.have)})
+			if got := behind.Document(); got.Revision != 400 || got.Classes[0].Target.Within != docs[400].Classes[0].Target.Within {
+				t.Errorf("holds revision %d with %+v", got.Revision, got.Classes)
+			}
+		})
+	}
+}
+
+func TestApplyRefuses(t *testing.T) {
+	key := "0000000000000000000000000000000000000000000000000000000000000000"
+	account := func(name string) Op {
+		return Op{Kind: OpSetAccount, Account: &Account{Name: name, KeySHA256: []string{key}}}
+	}
+	tests := []struct {
+		name string
+		ops  []Op
+	}{
+		{name: "no target time", ops: []Op{{Kind: OpSetClass, Class: &Class{Name: "a", Target: target(0)}}}},
+		{name: "percent above 100", ops: []Op{{Kind: OpSetClass, Class: &Class{Name: "a", Target: Target{Measure: MeasureWhole, Within: setup.Duration{Duration: time.Second}, Percent: 101}}}}},
+		{name: "unknown class", ops: []Op{{Kind: OpRemoveClass, Name: "nobody"}}},
+		{name: "missing value", ops: []Op{{Kind: OpSetAccount}}},
+		{name: "two accounts with one key", ops: []Op{account("a"), account("b")}},
+		{name: "unknown kind", ops: []Op{{Kind: "weigh"}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			doc := &Document{}
+			_, err := Apply(doc, Record{ID: "x", Revision: 1, Who: "test", Ops: tt.ops})
+			var invalid *InvalidError
+			if !errors.As(err, &invalid) {
+				t.Errorf("got %v, want an *InvalidError", err)
+			}
+			if doc.Revision != 0 || len(doc.Accounts) != 0 {
+				t.Error("the document was changed")
+			}
+		})
+	}
+}
+
+func ExampleDocument_Classify() {
+	doc := &Document{Classes: []Class{
+		{Name: "lookup", Match: Match{Services: []string{"geranium-lm"}, Label: "lookup"}},
+		{Name: "summary", Match: Match{Services: []string{"geranium-lm"}}},
+	}}
+	fmt.Println(doc.Classify("geranium-lm", "engineering", "lookup").Name)
+	fmt.Println(doc.Classify("geranium-lm", "engineering", "").Name)
+	fmt.Println(doc.Classify("simdesk", "engineering", "").Name)
+	// Output:
+	// lookup
+	// summary
+	// unclassified
+}
--- a/place/improve.go
+++ b/place/improve.go
@@ -149,6 +149,7 @@
 	hotLoad := im.ranks[hot] - im.share(e, n) + after
 	if len(im.held[cold]) < im.p.Slots {
 		consider(action{
+			kind:    kindCopy,
 			expert:  e,
 			to:      cold,
 			evicted: -1,
@@ -163,6 +164,7 @@
 		}
 		grown := im.share(x, m-1) - im.share(x, m)
 		consider(action{
+			kind:    kindCopy,
 			expert:  e,
 			to:      cold,
 			evicted: x,
@@ -196,10 +198,10 @@
 			continue
 		}
 		consider(action{
+			kind:    kindSwap,
 			expert:  e,
 			to:      cold,
 			evicted: x,
-			kind:    kindSwap,
 			copies:  2,
 			peak:    max(im.ranks[hot]-we+wx, im.ranks[cold]-wx+we),
 		})
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -153,3 +154,13 @@
 		t.Errorf("limit %d, want between the knee of %d and thrice that", n, knee)
 	}
 }
+
+func ExampleQueue() {
+	q := New()
+	idle := Capacity{Limit: 8}
+	q.Push(start, item(1, "batch", "engineering", 30*time.Second, 400), idle)
+	q.Push(start, item(2, "lookup", "site-visits", 400*time.Millisecond, 8), idle)
+	first, _ := q.Pop(start, idle)
+	fmt.Println(first.Class)
+	// Output: lookup
+}
--- a/setup/entry.go
+++ b/setup/entry.go
@@ -10,7 +10,7 @@
 	Listen string `json:"listen" validate:"required,hostport_ip"`
 	// Control is where operators and other entries come, as IP and port.
 	Control     string   `json:"control" validate:"required,hostport_ip"`
-	Platform    Platform `json:"platform" validate:"required"`
+	Platform    Platform `json:"platform"`
 	LinkKey     string   `json:"link_key" validate:"required,min=16"`
 	OperatorKey string   `json:"operator_key" validate:"required,min=16"`
 	// Seeds are control addresses of entries and agents, asked when the platform is down at start.
@@ -34,7 +34,7 @@
 	Region   string   `json:"region" validate:"max=128"`
 	Listen   string   `json:"listen" validate:"required,hostport_ip"`
 	LinkKey  string   `json:"link_key" validate:"required,min=16"`
-	Upstream Upstream `json:"upstream" validate:"required"`
+	Upstream Upstream `json:"upstream"`
 	Log      Log      `json:"log"`
 }
 
--- a/setup/load.go
+++ b/setup/load.go
@@ -67,12 +67,12 @@
 		return errs.Wrap(err)
 	}
 	report.Findings = append(report.Findings, walk("", tree, reflect.TypeOf(settings).Elem())...)
-	if len(report.Findings) == 0 {
-		if err := json.Unmarshal(plain, settings); err != nil {
-			return errs.Wrap(err)
-		}
-		report.Findings = append(report.Findings, Check(settings)...)
+	if err := json.Unmarshal(plain, settings); err != nil && len(report.Findings) == 0 {
+		return errs.Wrap(err)
 	}
+	// What could be read is checked as well, so that one report has everything; a field is reported once.
+	reported := lo.SliceToMap(report.Findings, func(f *ValueError) (string, bool) { return f.Path, true })
+	report.Findings = append(report.Findings, lo.Reject(Check(settings), func(f *ValueError, _ int) bool { return reported[f.Path] })...)
 	if len(report.Findings) == 0 {
 		return nil
 	}
