--- a/deploy/deployment.go
+++ b/deploy/deployment.go
@@ -3,11 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
-	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs/v2"
@@ -273,6 +270,7 @@
 		},
 		LinkKey:     linkKey,
 		OperatorKey: operatorKey,
+		MaxLinks:    d.Plan.MaxLinks,
 		Log:         setup.Log{Level: d.Plan.LogLevel},
 	}
 	if r, ok := d.StoreRelays[p.Domain]; ok {
@@ -315,11 +313,6 @@
 	return p, d.launch(p, cfg)
 }
 
-// FreeAddress returns an address of the loopback interface on which nobody listens.
-func FreeAddress() (string, error) {
-	return freeAddress()
-}
-
 // Operator returns the operator's client of one entry.
 func (d *Deployment) Operator(entry int) *oper.Client {
 	return &oper.Client{
@@ -411,24 +404,3 @@
 	firstPort = 12_000
 	lastPort  = 30_000
 )
-
-var nextPort atomic.Int64
-
-func init() {
-	nextPort.Store(firstPort + rand.Int64N((lastPort-firstPort)/2))
-}
-
-// freeAddress returns a port of the loopback interface on which nobody listens, a new one each time.
-func freeAddress() (string, error) {
-	for {
-		port := nextPort.Add(1)
-		if port >= lastPort {
-			return "", &TimeoutError{What: "a free port"}
-		}
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		ln, err := net.Listen("tcp", address)
-		if err == nil {
-			return address, errs.Wrap(ln.Close())
-		}
-	}
-}
--- a/deploy/plan.go
+++ b/deploy/plan.go
@@ -18,6 +18,8 @@
 	Keys map[string]string `json:"keys"`
 	// Configuration is what the operators apply first.
 	Configuration oper.File `json:"configuration"`
+	// MaxLinks bounds the agents that an entry links to; 0 means the default.
+	MaxLinks int `json:"max_links"`
 	// LogLevel is the level of every process's log.
 	LogLevel string `json:"log_level"`
 }
--- a/deploy/ready.go
+++ b/deploy/ready.go
@@ -56,7 +56,11 @@
 // waitLinks waits until every entry can use every upstream.
 func (d *Deployment) waitLinks() error {
 	for i := range d.Entries {
-		if err := d.WaitUsable(i, len(d.Agents)); err != nil {
+		n := len(d.Agents)
+		if d.Plan.MaxLinks > 0 {
+			n = min(n, d.Plan.MaxLinks/2)
+		}
+		if err := d.WaitUsable(i, n); err != nil {
 			return err
 		}
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -54,7 +54,9 @@
 	requests atomic.Uint64
 	open     atomic.Int64
 	stopping atomic.Bool
-	loops    sync.WaitGroup
+	// seen is the newest revision of the configuration's key that was read.
+	seen  atomic.Int64
+	loops sync.WaitGroup
 	// ctx ends when the last request has been answered and the background loops are to stop.
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -180,6 +180,16 @@
 	return p
 }
 
+// reachService links to every listed instance of a service.
+func (ps *peers) reachService(service string) {
+	ps.mu.RLock()
+	ids := lo.FilterMap(ps.rows, func(in core.Instance, _ int) (string, bool) { return in.ID, in.Service == service })
+	ps.mu.RUnlock()
+	for _, id := range ids {
+		ps.reach(id)
+	}
+}
+
 func (ps *peers) list() []*peer {
 	ps.mu.RLock()
 	defer ps.mu.RUnlock()
--- a/entry/sync.go
+++ b/entry/sync.go
@@ -29,11 +29,24 @@
 		case <-ctx.Done():
 			return
 		case <-t.Chan():
-			_, _ = e.readConfig(ctx)
+			e.pollConfig(ctx)
 		}
 	}
 }
 
+// pollConfig asks for the document's revision only: the document itself every few seconds would exceed an entry's traffic.
+func (e *Entry) pollConfig(ctx context.Context) {
+	v, err := e.store.Peek(ctx, configKey)
+	if err != nil {
+		return
+	}
+	if v.Modified == e.seen.Load() {
+		e.config.Confirm()
+		return
+	}
+	_, _ = e.readConfig(ctx)
+}
+
 func (e *Entry) watchConfig(ctx context.Context) {
 	wait := backoff.NewExponentialBackOff()
 	wait.InitialInterval = syncFirst
@@ -70,6 +83,7 @@
 		e.log.Error("configuration not readable", "error", err)
 		return
 	}
+	e.seen.Store(max(e.seen.Load(), v.Modified))
 	if e.config.Offer(doc) {
 		e.log.Info("configuration in force", "revision", doc.Revision)
 	}
--- a/proof/map_test.go
+++ b/proof/map_test.go
@@ -185,3 +185,14 @@
 		})
 	}
 }
+
+// TestLeaderReachesRanksOutsideItsSubset gives every entry fewer links than there are upstreams.
+func TestLeaderReachesRanksOutsideItsSubset(t *testing.T) {
+	p := groupPlan(false)
+	p.MaxLinks = 4
+	d := launch(t, p, deploy.Options{})
+	g := d.Groups[groupName]
+	drift(t, g)
+	switches(t, g, 1)
+	oneMap(t, g)
+}
--- a/stand/keyvalue.go
+++ b/stand/keyvalue.go
@@ -14,20 +14,6 @@
 
 const leaseTick = 50 * time.Millisecond
 
-// Fault is the way in which a stand-in misbehaves until it is set back.
-type Fault struct {
-	// Down refuses every call.
-	Down bool `json:"down"`
-	// Delay holds every call up for this many milliseconds.
-	Delay int `json:"delay"`
-	// LoseAnswers carries writes out and then closes the connection without an answer.
-	LoseAnswers bool `json:"lose_answers"`
-	// LoseNext is LoseAnswers for this many writes.
-	LoseNext int `json:"lose_next"`
-	// Stale makes the instance list show its rows as they were when the fault began.
-	Stale bool `json:"stale"`
-}
-
 // KeyValue is a key-value service with compare-and-swap, leases and watches in the form of etcd's JSON gateway.
 type KeyValue struct {
 	Server *Server
@@ -219,6 +205,9 @@
 	kv.mu.Lock()
 	resp := kv.lookup(req.Key)
 	kv.mu.Unlock()
+	if req.KeysOnly && len(resp.Kvs) > 0 {
+		resp.Kvs[0].Value = nil
+	}
 	write(ctx, resp)
 }
 
--- a/store/etcd.go
+++ b/store/etcd.go
@@ -69,6 +69,19 @@
 	return first(resp.Kvs), nil
 }
 
+// Peek implements Store.
+func (e *Etcd) Peek(ctx context.Context, key string) (Value, error) {
+	req := RangeRequest{
+		Key:      []byte(key),
+		KeysOnly: true,
+	}
+	var resp RangeResponse
+	if err := e.call(ctx, PathRange, req, &resp); err != nil {
+		return Value{}, &DownError{Cause: err}
+	}
+	return first(resp.Kvs), nil
+}
+
 // Swap implements Store.
 func (e *Etcd) Swap(ctx context.Context, key string, data []byte, modified int64, lease Lease) (Value, error) {
 	req := TxnRequest{
--- a/store/message.go
+++ b/store/message.go
@@ -2,9 +2,10 @@
 
 // The messages of etcd's JSON gateway, version 3, as far as they are used; 64-bit numbers travel as strings and bytes as base64.
 
-// RangeRequest reads one key.
+// RangeRequest reads one key, or only its revisions.
 type RangeRequest struct {
-	Key []byte `json:"key"`
+	Key      []byte `json:"key"`
+	KeysOnly bool   `json:"keys_only,omitempty"`
 }
 
 // KeyValue is one key with its revisions.
--- a/store/store.go
+++ b/store/store.go
@@ -19,6 +19,8 @@
 type Store interface {
 	// Get reads a key and fails with a *DownError.
 	Get(ctx context.Context, key string) (Value, error)
+	// Peek reads a key's revisions without its content and fails with a *DownError.
+	Peek(ctx context.Context, key string) (Value, error)
 	// Swap writes a key if its Modified still is modified, returns Created only for a new key, and fails with a *ConflictError, a *DownError or an *UnsureError.
 	Swap(ctx context.Context, key string, data []byte, modified int64, lease Lease) (Value, error)
 	// Watch calls fn with every later value of a key until ctx ends or the connection is lost.
