Leave engines that stop in mid-stream, and answer bad input by its own status

Tests that failed first: with an engine that stood still while it answered its health check, 15 of 51 streams waited for their deadline (TestStalledEngineIsLeft). The agent now gives a stream up that has had no part for 4 s, or no first one for 10 s, reports its upstream as unhealthy until nothing waits there any more, and entries take what may be repeated elsewhere: all whole. Headers over the limit were answered 400 instead of 431.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -51,10 +51,12 @@
 	// runningCost is the cost of what runs now.
 	runningCost float64
 
-	leaving    atomic.Bool
-	healthy    atomic.Bool
-	lastAsk    atomic.Int64
-	leftAt     atomic.Int64
+	leaving atomic.Bool
+	healthy atomic.Bool
+	lastAsk atomic.Int64
+	leftAt  atomic.Int64
+	// stuck counts the attempts that wait for an upstream which has stopped.
+	stuck      atomic.Int64
 	inFlight   sync.WaitGroup
 	background sync.WaitGroup
 }
--- a/agent/leave.go
+++ b/agent/leave.go
@@ -51,7 +51,7 @@
 
 func (a *Agent) checkHealth() {
 	leaving, err := a.upstream.Leaving()
-	healthy := err == nil
+	healthy := err == nil && a.loseStalled() == 0
 	if a.healthy.Swap(healthy) != healthy {
 		a.log.Warn("upstream health changed", "healthy", healthy, "error", err)
 		a.tell()
--- a/agent/run.go
+++ b/agent/run.go
@@ -31,6 +31,8 @@
 	buffer    *answer.Buffer
 	readers   []reader
 	sent      uint32
+	lastPart  time.Time
+	stuck     bool
 	acked     uint32
 	abandoned bool
 	alone     time.Time
@@ -56,7 +58,7 @@
 }
 
 // append stores a part and sends it to every reader; it waits while the window is full and returns false when the run was given up.
-func (r *run) append(p *proto.Answer, s *sessions) bool {
+func (r *run) append(p *proto.Answer, s *sessions, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for !r.abandoned && r.full() {
@@ -70,6 +72,7 @@
 		return false
 	}
 	r.sent = p.Seq + 1
+	r.lastPart = now
 	for _, rd := range r.readers {
 		sendPart(s, rd.key, p)
 	}
--- a/agent/schedule.go
+++ b/agent/schedule.go
@@ -60,14 +60,17 @@
 
 func (a *Agent) execute(r *run) {
 	defer a.inFlight.Done()
-	r.startedAt = a.clock.Now()
+	r.start(a.clock.Now())
 	a.log.Debug("attempt starts", "request", r.dispatch.Request, "attempt", r.key.String())
 	err := a.upstream.Do(r.dispatch, r.expires, func(p *proto.Answer) error {
-		if !r.append(p, a.sessions) {
+		if !r.append(p, a.sessions, a.clock.Now()) {
 			return &givenUpError{}
 		}
 		return nil
 	})
+	if r.wasStuck() {
+		a.stuck.Add(-1)
+	}
 	a.finish(r, err)
 	a.done(r, err == nil)
 	a.schedule()
@@ -87,7 +90,7 @@
 	}
 	if err != nil {
 		a.log.Warn("upstream lost", "request", r.dispatch.Request, "error", err)
-		r.append(lostPart(), a.sessions)
+		r.append(lostPart(), a.sessions, a.clock.Now())
 	}
 }
 
--- a/core/reason.go
+++ b/core/reason.go
@@ -9,6 +9,7 @@
 	ReasonUnauthorized    Reason = "unauthorized"
 	ReasonNoService       Reason = "no_such_service"
 	ReasonTooLarge        Reason = "too_large"
+	ReasonHeaderTooLarge  Reason = "header_too_large"
 	ReasonMethod          Reason = "method_not_allowed"
 	ReasonOverload        Reason = "overload"
 	ReasonTargetMissed    Reason = "target_would_be_missed"
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -61,6 +61,8 @@
 		switch fe.Code {
 		case fiber.StatusRequestEntityTooLarge:
 			reason = core.ReasonTooLarge
+		case fiber.StatusRequestHeaderFieldsTooLarge:
+			reason = core.ReasonHeaderTooLarge
 		case fiber.StatusNotFound:
 			reason = core.ReasonNoService
 		case fiber.StatusMethodNotAllowed:
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -187,7 +187,17 @@
 	p.reportAt = p.e.clock.Now()
 	p.ownAtReport = p.own
 	l := p.link
+	var open []*attempt
+	if !r.Healthy {
+		open = p.open()
+	}
 	p.mu.Unlock()
+	for _, a := range open {
+		// An upstream that is down or has stopped keeps nothing that may go on elsewhere.
+		if a.idempotent {
+			a.lose()
+		}
+	}
 	if have := p.e.config.Document().Revision; r.Revision > have && l != nil {
 		_ = l.Send(&proto.Frame{ConfigAsk: &proto.ConfigAsk{Have: have}})
 	}
--- a/entry/problem.go
+++ b/entry/problem.go
@@ -31,6 +31,7 @@
 	core.ReasonUnauthorized:   fiber.StatusUnauthorized,
 	core.ReasonNoService:      fiber.StatusNotFound,
 	core.ReasonTooLarge:       fiber.StatusRequestEntityTooLarge,
+	core.ReasonHeaderTooLarge: fiber.StatusRequestHeaderFieldsTooLarge,
 	core.ReasonMethod:         fiber.StatusMethodNotAllowed,
 	core.ReasonKeyReused:      fiber.StatusUnprocessableEntity,
 	core.ReasonOverload:       fiber.StatusTooManyRequests,
--- a/stand/engine.go
+++ b/stand/engine.go
@@ -34,6 +34,7 @@
 
 	mu        sync.Mutex
 	leaving   bool
+	stalled   bool
 	cancelled map[string]time.Time
 }
 
@@ -68,6 +69,13 @@
 	e.leaving = leaving
 }
 
+// SetStalled makes the engine's streams stand still, while it answers everything else.
+func (e *Engine) SetStalled(stalled bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stalled = stalled
+}
+
 // Running returns the number of streams in progress.
 func (e *Engine) Running() int64 {
 	return e.running.Load()
@@ -180,8 +188,23 @@
 		return false
 	}
 	e.generated.Add(1)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	_, gone := e.cancelled[id]
-	return !gone
+	return e.goesOn(id)
+}
+
+// goesOn waits while the engine is stalled and returns false when the stream was cancelled or the engine closed.
+func (e *Engine) goesOn(id string) bool {
+	for {
+		e.mu.Lock()
+		_, gone := e.cancelled[id]
+		stalled := e.stalled
+		e.mu.Unlock()
+		if gone || !stalled {
+			return !gone
+		}
+		select {
+		case <-e.done:
+			return false
+		case <-time.After(e.stepTime):
+		}
+	}
 }
