--- a/chaos/events.go
+++ b/chaos/events.go
@@ -39,15 +39,14 @@
 }
 
 func (r *run) killEntry(lasts time.Duration) {
-	p := r.anEntry()
-	r.note("kill %s for %s", p.ID, lasts)
-	p.Kill()
-	time.Sleep(lasts)
-	r.restart(p)
+	r.kill(r.anEntry(), lasts)
 }
 
 func (r *run) killAgent(lasts time.Duration) {
-	p := r.anAgent()
+	r.kill(r.anAgent(), lasts)
+}
+
+func (r *run) kill(p *deploy.Process, lasts time.Duration) {
 	r.note("kill %s for %s", p.ID, lasts)
 	p.Kill()
 	time.Sleep(lasts)
@@ -65,18 +64,17 @@
 }
 
 func (r *run) freezeAgent(lasts time.Duration) {
-	p := r.anAgent()
-	r.note("freeze %s for %s", p.ID, 2*lasts)
-	p.Freeze()
-	time.Sleep(2 * lasts)
-	p.Thaw()
+	r.freeze(r.anAgent(), 2*lasts)
 }
 
 func (r *run) freezeEntry(lasts time.Duration) {
-	p := r.anEntry()
-	r.note("freeze %s for %s", p.ID, 2*lasts)
+	r.freeze(r.anEntry(), 2*lasts)
+}
+
+func (r *run) freeze(p *deploy.Process, lasts time.Duration) {
+	r.note("freeze %s for %s", p.ID, lasts)
 	p.Freeze()
-	time.Sleep(2 * lasts)
+	time.Sleep(lasts)
 	p.Thaw()
 }
 
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -41,13 +41,14 @@
 func TestHolderOnlyMovesForward(t *testing.T) {
 	check.SetFatal(true)
 	docs := chain(t, 400)
-	h := NewHolder(clockwork.NewFakeClock())
 	rapid.Check(t, func(t *rapid.T) {
-		before := h.Document().Revision
-		doc := docs[rapid.IntRange(0, len(docs)-1).Draw(t, "revision")]
-		taken := h.Offer(doc)
-		if taken != (doc.Revision > before) || h.Document().Revision != max(before, doc.Revision) {
-			t.Fatalf("held %d, was offered %d, holds %d", before, doc.Revision, h.Document().Revision)
+		h := NewHolder(clockwork.NewFakeClock())
+		for _, i := range rapid.SliceOfN(rapid.IntRange(0, len(docs)-1), 1, 20).Draw(t, "revisions") {
+			before := h.Document().Revision
+			taken := h.Offer(docs[i])
+			if taken != (docs[i].Revision > before) || h.Document().Revision != max(before, docs[i].Revision) {
+				t.Fatalf("held %d, was offered %d, holds %d", before, docs[i].Revision, h.Document().Revision)
+			}
 		}
 	})
 }
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -11,11 +11,9 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/gofiber/fiber/v3"
 
 	"geraniumpass/core"
-	"geraniumpass/proto"
 )
 
 const (
@@ -90,92 +88,6 @@
 	return c.SendString("ok")
 }
 
-// completionBody is what the entry reads of a completion request; the rest is passed on unread.
-type completionBody struct {
-	Model     string        `json:"model"`
-	Prompt    string        `json:"prompt"`
-	Messages  []core.Prompt `json:"messages"`
-	MaxTokens int           `json:"max_tokens"`
-	Stream    bool          `json:"stream"`
-}
-
-func (e *Entry) completion(c fiber.Ctx) error {
-	r, err := e.begin(c)
-	if err != nil {
-		return e.refuse(c, r, err)
-	}
-	if c.Method() != fiber.MethodPost {
-		c.Set(fiber.HeaderAllow, fiber.MethodPost)
-		return e.refuse(c, r, core.NotRun(core.ReasonMethod, "completions are made by POST"))
-	}
-	var body completionBody
-	if err := json.Unmarshal(c.Body(), &body); err != nil {
-		return e.refuse(c, r, core.NotRun(core.ReasonBadRequest, "the body is not the JSON of a completion request: "+err.Error()))
-	}
-	if kind, ok := e.peers.kind(body.Model); !ok || kind != core.KindModel {
-		return e.refuse(c, r, core.NotRun(core.ReasonNoService, "there is no model "+strconv.Quote(body.Model)))
-	}
-	if body.MaxTokens <= 0 {
-		body.MaxTokens = defaultTokens
-	}
-	r.service = body.Model
-	r.path = c.Path()
-	r.stream = body.Stream
-	r.idempotent = true
-	r.cost = float64(body.MaxTokens)
-	r.prefix = prefixOf(&body)
-	return e.answer(c, r)
-}
-
-// prefixOf hashes the beginning of the prompt, by which engines cache.
-func prefixOf(b *completionBody) uint64 {
-	text := b.Prompt
-	if len(b.Messages) > 0 {
-		text = b.Messages[0].Content
-	}
-	if len(text) < prefixBytes {
-		return 0
-	}
-	return xxhash.Sum64String(text[:prefixBytes])
-}
-
-func (e *Entry) plain(c fiber.Ctx) error {
-	r, err := e.begin(c)
-	if err != nil {
-		return e.refuse(c, r, err)
-	}
-	r.service = c.Params("service")
-	if kind, ok := e.peers.kind(r.service); !ok || kind != core.KindPlain {
-		return e.refuse(c, r, core.NotRun(core.ReasonNoService, "there is no service "+strconv.Quote(r.service)))
-	}
-	r.path = plainPath(string(c.Request().RequestURI()), r.service)
-	r.idempotent = idempotent(c.Method())
-	r.key = c.Get(headerKey)
-	if len(r.key) > maxKeyLength {
-		return e.refuse(c, r, core.NotRun(core.ReasonBadRequest, fmt.Sprintf("%s is longer than %d characters", headerKey, maxKeyLength)))
-	}
-	r.cost = 1
-	return e.answer(c, r)
-}
-
-// plainPath is what follows the service's name in the target, query and all, as the caller wrote it.
-func plainPath(uri, service string) string {
-	rest := strings.TrimPrefix(uri, servicesPrefix+service)
-	if !strings.HasPrefix(rest, "/") {
-		return "/" + rest
-	}
-	return rest
-}
-
-// idempotent follows RFC 9110, section 9.2.2.
-func idempotent(method string) bool {
-	switch method {
-	case fiber.MethodGet, fiber.MethodHead, fiber.MethodOptions, fiber.MethodPut, fiber.MethodDelete, fiber.MethodTrace:
-		return true
-	}
-	return false
-}
-
 // begin reads what all requests have: who asks, under which id, and until when.
 func (e *Entry) begin(c fiber.Ctx) (*request, error) {
 	now := e.clock.Now()
@@ -282,36 +194,6 @@
 	})
 }
 
-// skipped are the headers that are this hop's own business.
-var skipped = map[string]bool{
-	"authorization":     true,
-	"connection":        true,
-	"content-length":    true,
-	"host":              true,
-	"keep-alive":        true,
-	"te":                true,
-	"trailer":           true,
-	"transfer-encoding": true,
-	"upgrade":           true,
-	"x-request-id":      true,
-	"x-request-timeout": true,
-	"expect":            true,
-}
-
-func requestHeaders(c fiber.Ctx) []proto.Header {
-	var out []proto.Header
-	for k, v := range c.Request().Header.All() {
-		if skipped[strings.ToLower(string(k))] {
-			continue
-		}
-		out = append(out, proto.Header{
-			Name:  string(k),
-			Value: string(v),
-		})
-	}
-	return out
-}
-
 // refuse answers with a problem document and counts the request.
 func (e *Entry) refuse(c fiber.Ctx, r *request, err error) error {
 	var refusal *core.Refusal
@@ -321,28 +203,3 @@
 	e.finish(r, err)
 	return sendProblem(c, refusal, r.id)
 }
-
-// models lists the services that are model engines, in the common shape.
-func (e *Entry) models(c fiber.Ctx) error {
-	if _, err := e.begin(c); err != nil {
-		return e.refuse(c, &request{}, err)
-	}
-	type model struct {
-		ID     string `json:"id"`
-		Object string `json:"object"`
-	}
-	type models struct {
-		Object string  `json:"object"`
-		Data   []model `json:"data"`
-	}
-	out := models{Object: "list"}
-	for _, s := range e.peers.serviceNames() {
-		if k, _ := e.peers.kind(s); k == core.KindModel {
-			out.Data = append(out.Data, model{
-				ID:     s,
-				Object: "model",
-			})
-		}
-	}
-	return c.JSON(out)
-}
--- /dev/null
+++ b/entry/plain.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/gofiber/fiber/v3"
+
+	"geraniumpass/core"
+)
+
+func (e *Entry) plain(c fiber.Ctx) error {
+	r, err := e.begin(c)
+	if err != nil {
+		return e.refuse(c, r, err)
+	}
+	r.service = c.Params("service")
+	if kind, ok := e.peers.kind(r.service); !ok || kind != core.KindPlain {
+		return e.refuse(c, r, core.NotRun(core.ReasonNoService, "there is no service "+strconv.Quote(r.service)))
+	}
+	r.path = plainPath(string(c.Request().RequestURI()), r.service)
+	r.idempotent = idempotent(c.Method())
+	r.key = c.Get(headerKey)
+	if len(r.key) > maxKeyLength {
+		return e.refuse(c, r, core.NotRun(core.ReasonBadRequest, fmt.Sprintf("%s is longer than %d characters", headerKey, maxKeyLength)))
+	}
+	r.cost = 1
+	return e.answer(c, r)
+}
+
+// plainPath is what follows the service's name in the target, query and all, as the caller wrote it.
+func plainPath(uri, service string) string {
+	rest := strings.TrimPrefix(uri, servicesPrefix+service)
+	if !strings.HasPrefix(rest, "/") {
+		return "/" + rest
+	}
+	return rest
+}
+
+// idempotent follows RFC 9110, section 9.2.2.
+func idempotent(method string) bool {
+	switch method {
+	case fiber.MethodGet, fiber.MethodHead, fiber.MethodOptions, fiber.MethodPut, fiber.MethodDelete, fiber.MethodTrace:
+		return true
+	}
+	return false
+}
