--- a/proof/once_test.go
+++ b/proof/once_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -237,3 +238,31 @@
 	onlyVerdicts(t, results, caller.Whole)
 	atMostOnce(t, d, results)
 }
+
+// TestLostDispatchDoesNotMoveAClaim loses a keyed dispatch with its link after a repeat has run at the claim's home.
+func TestLostDispatchDoesNotMoveAClaim(t *testing.T) {
+	d := launch(t, smallPlan(), deploy.Options{})
+	const probe = "held"
+	home := plain + "-00"
+	relay := d.AgentRelays[d.Entries[0].Domain][home]
+	relay.Set(stand.Break{HoldForward: true})
+	first := make(chan sent, 1)
+	go func() { first <- booking(d, 0, "", probe, probe) }()
+	eventually(t, "the claim", func() bool {
+		return d.KeyValue.Lookup("geraniumpass/claims/"+account+"/"+probe) != nil
+	})
+	if claim := string(d.KeyValue.Lookup("geraniumpass/claims/" + account + "/" + probe)); !strings.Contains(claim, home) {
+		t.Fatalf("claim %s is not of the entry's own domain", claim)
+	}
+	if s := booking(d, 1, "", probe, probe); s.result.Verdict != caller.Whole {
+		t.Fatalf("the repeat got %+v", s.result)
+	}
+	relay.Set(stand.Break{Cut: true})
+	relay.Set(stand.Break{})
+	if s := <-first; s.result.Verdict != caller.Whole {
+		t.Errorf("the first got %+v, want the answer of the one run", s.result)
+	}
+	if n := d.Runs.Runs(probe); n != 1 {
+		t.Errorf("ran %d times", n)
+	}
+}
