--- a/cmd/capacity/probe.go
+++ b/cmd/capacity/probe.go
@@ -26,6 +26,7 @@
 	received float64
 	frames   float64
 	calls    float64
+	mallocs  float64
 }
 
 // used is what a process used in a second, between two readings.
@@ -36,6 +37,7 @@
 	bytes    float64
 	frames   float64
 	calls    float64
+	mallocs  float64
 }
 
 func read(p *deploy.Process) (reading, error) {
@@ -59,11 +61,15 @@
 		Received float64 `json:"link_bytes_received"`
 		Frames   float64 `json:"link_frames_sent"`
 		Calls    float64 `json:"key_value_calls"`
+		Memstats struct {
+			Mallocs float64 `json:"Mallocs"`
+		} `json:"memstats"`
 	}
 	if err := json.Unmarshal(body, &vars); err != nil {
 		return r, errs.Wrap(err)
 	}
 	r.sent, r.received, r.frames, r.calls = vars.Sent, vars.Received, vars.Frames, vars.Calls
+	r.mallocs = vars.Memstats.Mallocs
 	return r, nil
 }
 
@@ -93,5 +99,6 @@
 		bytes:    (b.sent + b.received - a.sent - a.received) / s,
 		frames:   (b.frames - a.frames) / s,
 		calls:    (b.calls - a.calls) / s,
+		mallocs:  (b.mallocs - a.mallocs) / s,
 	}, nil
 }
--- a/cmd/capacity/roles.go
+++ b/cmd/capacity/roles.go
@@ -28,16 +28,17 @@
 	rankCount = 128
 )
 
-// fourOf makes the usual four series from what a process used at each size.
-func fourOf(by string, sizes []int, got []used) []series {
+// usual makes the usual series from what a process used at each size.
+func usual(by string, sizes []int, got []used) []series {
 	out := []series{
 		{name: "processor", unit: "% of core", by: by},
 		{name: "resident memory", unit: "MB", by: by},
 		{name: "link bytes, both ways", unit: "B/s", by: by},
 		{name: "frames sent", unit: "1/s", by: by},
+		{name: "allocations", unit: "1/s", by: by},
 	}
 	for i, n := range sizes {
-		for j, y := range []float64{got[i].cpu, got[i].resident, got[i].bytes, got[i].frames} {
+		for j, y := range []float64{got[i].cpu, got[i].resident, got[i].bytes, got[i].frames, got[i].mallocs} {
 			out[j].points = append(out[j].points, point{x: float64(n), y: y})
 		}
 	}
@@ -63,7 +64,7 @@
 		got = append(got, u)
 		s.close()
 	}
-	return fourOf("links", sizes, got)
+	return usual("links", sizes, got)
 }
 
 func (r *runner) changes() []series {
@@ -83,7 +84,7 @@
 		wg.Wait()
 		got = append(got, u)
 	}
-	return fourOf("changes a second", sizes, got)
+	return usual("changes a second", sizes, got)
 }
 
 func (r *runner) changeAt(s *site, perSecond int, stop chan struct{}) {
@@ -133,7 +134,7 @@
 		wg.Wait()
 		got = append(got, u)
 	}
-	return fourOf("requests a second", sizes, got)
+	return usual("requests a second", sizes, got)
 }
 
 func (r *runner) streams() []series {
@@ -157,7 +158,7 @@
 		wg.Wait()
 		got = append(got, u)
 	}
-	return fourOf("streams of 50 tokens/s", sizes, got)
+	return usual("streams of 50 tokens/s", sizes, got)
 }
 
 func (r *runner) ranks() []series {
@@ -180,7 +181,7 @@
 		got = append(got, u)
 		s.close()
 	}
-	return fourOf("ranks, each a link", sizes, got)
+	return usual("ranks, each a link", sizes, got)
 }
 
 func (r *runner) agentLinks() []series {
@@ -216,7 +217,7 @@
 		wg.Wait()
 		p.Kill()
 	}
-	return fourOf("links", sizes, got)
+	return usual("links", sizes, got)
 }
 
 // beat holds one link with heartbeats as an entry does.
