Tell the two ends of a link apart in its proof, and assert planned stops

Read once more before landing: the proof of the link key did not say which end gave it, so that whoever sent an agent's own hello and own proof back to it was let in without the key. The proof covers the side now.

--- a/agent/leave.go
+++ b/agent/leave.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"geraniumpass/check"
 	"geraniumpass/core"
 	"geraniumpass/proto"
 )
@@ -34,6 +35,10 @@
 func (a *Agent) drain() {
 	a.leave("stop")
 	a.inFlight.Wait()
+	a.sched.Lock()
+	running := a.running
+	a.sched.Unlock()
+	check.Hold(check.GracefulStop, running == 0, "%d attempts run at the end of a stop", running)
 	end := a.clock.Now().Add(finishTime)
 	for a.clock.Now().Before(end) && a.unread() {
 		a.clock.Sleep(tickEvery / 10)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/samber/do/v2"
 	"github.com/zeebo/errs/v2"
 
+	"geraniumpass/check"
 	"geraniumpass/config"
 	"geraniumpass/meter"
 	"geraniumpass/retry"
@@ -161,6 +162,7 @@
 	e.clock.Sleep(stopNotice)
 	if err := e.callers.ShutdownWithTimeout(stopTime); err != nil {
 		e.log.Warn("callers cut off", "error", err)
+		check.Hold(check.GracefulStop, false, "%d requests were in flight at the end of a stop: %v", e.open.Load(), err)
 	}
 	for e.open.Load() > 0 {
 		e.clock.Sleep(time.Millisecond)
--- a/wire/hello.go
+++ b/wire/hello.go
@@ -56,8 +56,24 @@
 	return binary.BigEndian.Uint64(b[:]) >> 1
 }
 
-func proof(key, nonce []byte, who Identity) []byte {
+// side is the end of a link that a proof is of; without it one end's proof could be sent back to it as the other's.
+type side byte
+
+const (
+	sideDialled  side = 'd'
+	sideAccepted side = 'a'
+)
+
+func (s side) other() side {
+	if s == sideDialled {
+		return sideAccepted
+	}
+	return sideDialled
+}
+
+func proof(key, nonce []byte, who Identity, of side) []byte {
 	m := hmac.New(sha256.New, key)
+	m.Write([]byte{byte(of)})
 	m.Write(nonce)
 	m.Write([]byte(who.Role + "|" + who.ID + "|" + who.Domain))
 	_ = binary.Write(m, binary.BigEndian, who.Incarnation)
@@ -82,7 +98,7 @@
 }
 
 // shake runs the mutual proof: both send a nonce, then both answer the other's nonce.
-func shake(c *websocket.Conn, own Identity, key []byte) (Identity, error) {
+func shake(c *websocket.Conn, own Identity, key []byte, mine side) (Identity, error) {
 	deadline := time.Now().Add(handshakeTimeout)
 	_ = c.SetReadDeadline(deadline)
 	_ = c.SetWriteDeadline(deadline)
@@ -95,14 +111,14 @@
 	if err != nil {
 		return Identity{}, err
 	}
-	if err := sendHello(c, hello{Identity: own, Proof: proof(key, peer.Nonce, own)}); err != nil {
+	if err := sendHello(c, hello{Identity: own, Proof: proof(key, peer.Nonce, own, mine)}); err != nil {
 		return Identity{}, err
 	}
 	answer, err := readHello(c)
 	if err != nil {
 		return Identity{}, err
 	}
-	if !hmac.Equal(answer.Proof, proof(key, nonce, answer.Identity)) || answer.Identity != peer.Identity {
+	if !hmac.Equal(answer.Proof, proof(key, nonce, answer.Identity, mine.other())) || answer.Identity != peer.Identity {
 		return Identity{}, &AuthError{Peer: peer.Identity.ID}
 	}
 	_ = c.SetReadDeadline(time.Time{})
--- a/wire/link.go
+++ b/wire/link.go
@@ -69,7 +69,7 @@
 	if resp != nil && resp.Body != nil {
 		_ = resp.Body.Close()
 	}
-	return start(c, own, key)
+	return start(c, own, key, sideDialled)
 }
 
 // Accept upgrades a request, proves the key and calls fn with the link; it is closed when fn returns.
@@ -80,7 +80,7 @@
 		CheckOrigin:     func(*fasthttp.RequestCtx) bool { return true },
 	}
 	return errs.Wrap(u.Upgrade(ctx, func(c *websocket.Conn) {
-		l, err := start(c, own, key)
+		l, err := start(c, own, key, sideAccepted)
 		if err != nil {
 			return
 		}
@@ -93,9 +93,9 @@
 	}))
 }
 
-func start(c *websocket.Conn, own Identity, key []byte) (*Link, error) {
+func start(c *websocket.Conn, own Identity, key []byte, mine side) (*Link, error) {
 	c.SetReadLimit(maxMessage)
-	peer, err := shake(c, own, key)
+	peer, err := shake(c, own, key, mine)
 	if err != nil {
 		_ = c.Close()
 		return nil, err
