Keep the test cache away from the tests with real processes

Cause: make test in a fresh clone answered 'ok geraniumpass/proof (cached)' after a change of wire. Those tests build the program themselves; what changed in it is not linked into the test binary, so that its hash stays the same and a changed agent could go untested.

--- a/Makefile
+++ b/Makefile
@@ -17,8 +17,9 @@
 	$(LINT) run ./...
 
 # The exhaustive exploration runs without the race detector: it has one goroutine for each set of bounds and needs the speed.
+# The tests with real processes build the program themselves, which Go's test cache can't see: -count=1 keeps it out.
 test:
-	$(GO) test -race -timeout 8m $$($(GO) list ./... | grep -v /epmap)
+	$(GO) test -race -count=1 -timeout 8m $$($(GO) list ./... | grep -v /epmap)
 	$(GO) test -timeout 5m ./epmap
 
 demo: build
