Forget counts of experts from before a turn of popularity

Halving old counts every 0.4 s left the planner with the old popularity for most of a second, in which every stream in flight gets a pause of more than 120 ms. Change: the estimate averages while late counts agree with earlier ones and drops the earlier ones when they don't; a rank that sees the turn itself drops what it had not told yet and tells at once. Conclusion: kept; TestDemandTurns and TestTallyDropsWhatATurnHasOverruled fail without it.

--- a/group/agent.go
+++ b/group/agent.go
@@ -53,10 +53,12 @@
 	mu     sync.Mutex
 	report Report
 	known  bool
-	counts []int64
-	// tally is what the leader has been told of counts, toldAt when.
+	// counts is how many counts the engine has.
+	counts int
+	// tally is what the leader has not been told yet of counts, toldAt when it last was; urgent is true once popularity has turned since.
 	tally  place.Tally
 	toldAt time.Time
+	urgent bool
 	// leader is the link of the newest leader, with its fence; heard is when it last spoke.
 	leader *wire.Link
 	fence  int64
@@ -110,7 +112,8 @@
 	if stepped {
 		if counts, err := a.Engine.Counts(ctx); err == nil {
 			a.mu.Lock()
-			a.counts = counts
+			a.counts = len(counts)
+			a.urgent = a.tally.Add(counts) || a.urgent
 			a.mu.Unlock()
 		}
 	}
@@ -184,9 +187,14 @@
 	l := a.leader
 	f := a.frame(a.report)
 	now := a.Clock.Now()
-	if l != nil && now.Sub(a.toldAt) >= time.Duration(len(a.counts))*timePerCount {
-		f.Chosen, f.Unit = a.tally.Take(a.counts)
+	if l == nil {
+		// Whoever leads next needs to know what is chosen then.
+		a.tally.Take()
+	}
+	if l != nil && (a.urgent || now.Sub(a.toldAt) >= time.Duration(a.counts)*timePerCount) {
+		f.Chosen, f.Unit = a.tally.Take()
 		a.toldAt = now
+		a.urgent = false
 	}
 	a.mu.Unlock()
 	if l != nil {
--- a/group/lead.go
+++ b/group/lead.go
@@ -30,8 +30,8 @@
 	holdTime = 400 * time.Millisecond
 	// prepareTime is how long all ranks may take to load what a map needs: a few copies of some 400 ms.
 	prepareTime = 3 * time.Second
-	// demandHalfLife weighs late counts against early ones: popularity turns over every three to four seconds.
-	demandHalfLife = 400 * time.Millisecond
+	// demandHalfLife weighs late counts against early ones while popularity stands still, which it does for two to four seconds.
+	demandHalfLife = time.Second
 	// leastSaving is the share of a step's expert part below which a switch is not begun: while one is under way, no other answers a turn of popularity.
 	leastSaving = 0.1
 	// copyTime is how long the loads of one rank for one switch may take together, if more than one fits: one step.
--- a/place/joint_test.go
+++ b/place/joint_test.go
@@ -1,7 +1,9 @@
 package place
 
 import (
+	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -107,7 +109,8 @@
 			d := &Demand{HalfLife: time.Second}
 			tally := &Tally{}
 			for _, c := range tt.counts {
-				if chosen, unit := tally.Take(c); chosen != nil {
+				tally.Add(c)
+				if chosen, unit := tally.Take(); chosen != nil {
 					d.Observe(time.Unix(0, 0), chosen, unit)
 				}
 			}
@@ -124,15 +127,92 @@
 	}
 }
 
-func TestDemandForgets(t *testing.T) {
+func TestDemandWhilePopularityStands(t *testing.T) {
 	d := &Demand{HalfLife: time.Second}
-	d.Observe(time.Unix(0, 0), []byte{8, 0}, 1)
-	d.Observe(time.Unix(1, 0), []byte{0, 8}, 1)
-	if got := d.Loads(1)[0]; got[0] != 4 || got[1] != 8 {
+	d.Observe(time.Unix(0, 0), []byte{100, 100}, 1)
+	d.Observe(time.Unix(1, 0), []byte{100, 80}, 1)
+	// Half of what is a half-life old and all of what is new.
+	if got := d.Loads(1)[0]; got[0] != 150 || got[1] != 130 {
 		t.Errorf("after a half-life: %v", got)
 	}
 }
 
+// TestDemandTurns has the users' pattern: every two seconds two thirds of the popular experts are others, from one step to the next.
+// Ranks tell their counts in turn, each what it counted over the last 200 ms.
+func TestDemandTurns(t *testing.T) {
+	const (
+		sets    = 4
+		experts = 96
+		ranks   = 24
+		window  = 200 * time.Millisecond
+		settled = 400 * time.Millisecond
+		most    = 0.1
+	)
+	random := rand.New(rand.NewPCG(3, 9))
+	before, after := popularity(random, sets, experts), popularity(random, sets, experts)
+	turn := time.Unix(100, 0)
+	d := &Demand{
+		HalfLife: time.Second,
+	}
+	for at := turn.Add(-2 * time.Second); at.Before(turn.Add(settled)); at = at.Add(window / ranks) {
+		// The part of this rank's window that lies after the turn.
+		part := min(1, max(0, float64(at.Sub(turn))/float64(window)))
+		chosen := make([]byte, sets*experts)
+		for i := range chosen {
+			mean := 600 * ((1-part)*before[i] + part*after[i])
+			chosen[i] = byte(min(255, max(0, mean+random.NormFloat64()*math.Sqrt(mean)+0.5)))
+		}
+		d.Observe(at, chosen, 1)
+	}
+	for s, load := range d.Loads(sets) {
+		if got := distance(load, after[s*experts:(s+1)*experts]); got > most {
+			t.Errorf("set %d: %.2f of the choices are misplaced %v after a turn, want %.2f at most", s, got, settled, most)
+		}
+	}
+}
+
+func TestTallyDropsWhatATurnHasOverruled(t *testing.T) {
+	tests := []struct {
+		name   string
+		counts [][]int64
+		turned bool
+		want   []byte
+	}{
+		{"nothing turns", [][]int64{{0, 0}, {50, 50}, {110, 90}}, false, []byte{110, 90}},
+		{"a turn", [][]int64{{0, 0}, {80, 20}, {90, 110}}, true, []byte{10, 90}},
+		{"counts of an engine that started anew", [][]int64{{0, 0}, {80, 20}, {8, 2}}, false, []byte{88, 22}},
+		{"no choices between", [][]int64{{0, 0}, {80, 20}, {80, 20}, {160, 40}}, false, []byte{160, 40}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tally := &Tally{}
+			turned := false
+			for _, c := range tt.counts {
+				turned = tally.Add(c) || turned
+			}
+			if turned != tt.turned {
+				t.Errorf("turned is %t, want %t", turned, tt.turned)
+			}
+			if got, _ := tally.Take(); !slices.Equal(got, tt.want) {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// popularity returns by set how often each expert is chosen, by Zipf's law over a drawn order.
+func popularity(random *rand.Rand, sets, experts int) []float64 {
+	var out []float64
+	for range sets {
+		out = append(out, skewed(random, experts)...)
+	}
+	for s := range sets {
+		load := out[s*experts : (s+1)*experts]
+		scale(load, 1/sumOf(load))
+	}
+	return out
+}
+
 // BenchmarkImproveSets has the size of the users' larger groups: 16 sets of 96 experts on 24 ranks.
 func BenchmarkImproveSets(b *testing.B) {
 	random := rand.New(rand.NewPCG(5, 6))
