--- a/gate/stream.go
+++ b/gate/stream.go
@@ -21,6 +21,7 @@
 // passStream passes whole events on as they come; a run that breaks off leaves the caller at the end of an event.
 func (a *attempt) passStream(resp *http.Response) (verdict, int) {
 	r := a.r
+	resumed := r.stream.begun
 	var pending []byte
 	chunk := make([]byte, readChunk)
 	for {
@@ -46,16 +47,16 @@
 			r.reason = "stream_cut"
 			return a.gone(verdictLost), 0
 		}
-		return a.endStream(resp, pending)
+		return a.endStream(resp, pending, resumed)
 	}
 }
 
 // endStream passes on what follows the last event of an answer that came to its end.
-func (a *attempt) endStream(resp *http.Response, rest []byte) (verdict, int) {
+func (a *attempt) endStream(resp *http.Response, rest []byte, resumed bool) (verdict, int) {
 	r := a.r
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	if !framed && len(rest) > 0 {
-		// An answer without a length that ends within an event was cut.
+	if (!framed || resumed) && len(rest) > 0 {
+		// An answer without a length that ends within an event was cut, and what another run sends beside events doesn't belong to it.
 		r.reason = "stream_cut"
 		return a.gone(verdictLost), 0
 	}
--- a/group/agent.go
+++ b/group/agent.go
@@ -101,12 +101,14 @@
 func (a *Agent) poll(ctx context.Context) bool {
 	a.ordering.Lock()
 	rep, err := a.look(ctx)
+	fence := a.guard.Fence
 	a.ordering.Unlock()
 	if err != nil {
 		a.lost(err)
 		return false
 	}
 	a.mu.Lock()
+	a.fence = max(a.fence, fence)
 	stepped := !a.known || rep.Step != a.report.Step
 	a.mu.Unlock()
 	if stepped {
--- a/group/lead.go
+++ b/group/lead.go
@@ -21,6 +21,8 @@
 	repeatWhole = 600 * time.Millisecond
 	// tickEvery is how often a leader looks for what is due beside the answers that come in.
 	tickEvery = 25 * time.Millisecond
+	// askEvery is the least time between two rounds of questions to all ranks: one that can't go on must not keep all of them busy.
+	askEvery = 50 * time.Millisecond
 	// dialEvery is how often ranks without a link are tried, listEvery how often the instances are read again while one is missing.
 	dialEvery = 250 * time.Millisecond
 	listEvery = 3 * time.Second
@@ -94,6 +96,9 @@
 	demand   place.Demand
 	entered  time.Time
 	phase    shift.Phase
+	// asked is when all ranks were last to be asked, askFrom when that may begin.
+	asked   time.Time
+	askFrom time.Time
 
 	addresses []string
 	listed    time.Time
@@ -145,10 +150,22 @@
 			d.connect(ctx)
 			d.speak()
 		}
+		if d.outdone() {
+			m.Log.Info("replaced as leader", "group", d.group, "fence", fence)
+			return
+		}
 		d.advance()
 	}
 }
 
+// outdone returns true when a later leader has been at a rank, this process's own included.
+func (d *leading) outdone() bool {
+	a := d.m.Agent
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.fence > d.leader.Fence || d.leader.Outdone()
+}
+
 func (d *leading) close() {
 	for l := range d.rankOf {
 		l.Close()
@@ -256,6 +273,8 @@
 		copy(d.has, d.prepared)
 		d.next = nil
 	case d.phase == shift.PhaseAsk:
+		d.askFrom = d.asked.Add(askEvery)
+		d.asked = now
 		d.next, d.inUse = nil, shift.None
 		d.m.Log.Info("asking all ranks", "group", d.group, "from", from.String())
 	case d.phase == shift.PhaseIdle, d.phase == shift.PhaseRelease:
@@ -285,6 +304,9 @@
 
 // send gives the orders that are not answered yet, again after a while.
 func (d *leading) send(now time.Time) {
+	if d.leader.Phase == shift.PhaseAsk && now.Before(d.askFrom) {
+		return
+	}
 	for r, o := range d.leader.Orders() {
 		l := d.links[r]
 		byRows := d.has[r] == d.inUse && d.inUse != shift.None
--- a/group/orders.go
+++ b/group/orders.go
@@ -25,11 +25,17 @@
 		_ = l.Send(&proto.Frame{RankState: f})
 		return
 	}
-	if o.Fence >= a.fence {
-		a.fence = o.Fence
-		a.leader = l
-		a.heard = a.Clock.Now()
+	if o.Fence < a.fence {
+		// A leader that slept has to learn that it was replaced from whatever it says, or it would wait for this rank for ever.
+		f := a.frame(a.report)
+		a.mu.Unlock()
+		f.Seq, f.Refused = o.Seq, true
+		_ = l.Send(&proto.Frame{RankState: f})
+		return
 	}
+	a.fence = o.Fence
+	a.leader = l
+	a.heard = a.Clock.Now()
 	busy := a.underway[order]
 	if busy || order.Op == 0 {
 		a.mu.Unlock()
--- a/shift/explore_test.go
+++ b/shift/explore_test.go
@@ -84,13 +84,24 @@
 	x.from[w] = x.at
 	x.todo = append(x.todo, w)
 	for _, e := range w.Engines {
-		if e.Map != w.Engines[0].Map {
+		if e.Map != w.Engines[0].Map || w.outruns(e) {
 			x.bad = true
 			x.last = w
 		}
 	}
 }
 
+// outruns returns true when a rank has prepared something later than what another is armed with for a step that is still to come: it can
+// never be armed alike, so that the group stands for good.
+func (w *world) outruns(e engine) bool {
+	for _, other := range w.Engines {
+		if other.Armed != None && other.ArmedStep > w.Step && e.Armed == None && e.Map != other.Armed && e.Prepared > other.Armed {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *world) state(r int) State {
 	e := w.Engines[r]
 	return State{
@@ -290,7 +301,9 @@
 	if l.Phase == PhaseIdle && w.Leads[i].Begun < x.b.switches {
 		for holder := range ranks {
 			n, c := w, l.Clone()
-			if _, ok := c.Begin(holder); ok {
+			if v, ok := c.Begin(holder); ok {
+				// Two leaders that give one version to two maps split the group without any rank noticing.
+				x.bad = x.bad || v/versionsPerFence != int64(i+1)
 				n.Leads[i].set(c)
 				n.Leads[i].Begun++
 				x.push(n)
@@ -404,6 +417,7 @@
 		{"one leader, the group forms anew", bounds{steps: 5, late: 2, leaders: 1, switches: 2, breaks: 1}},
 		{"two leaders, a restart, the group forms anew", bounds{steps: 8, late: 1, leaders: 2, switches: 1, restarts: 1, breaks: 1}},
 		{"two leaders, a restart", bounds{steps: 9, late: 2, leaders: 2, switches: 1, restarts: 1}},
+		{"two leaders of two switches, a restart", bounds{steps: 9, late: 0, leaders: 2, switches: 2, restarts: 1}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/shift/guard.go
+++ b/shift/guard.go
@@ -38,8 +38,11 @@
 	AnswerWait
 )
 
-// Observe takes a fresh state of the rank: a new epoch clears what was held, a first one after a start leaves a margin.
+// Observe takes a fresh state of the rank: a new epoch clears what was held, a first one after a start leaves a margin; a version of a
+// later leader than any seen makes that one the newest.
 func (g *Guard) Observe(s State) {
+	// An agent that was restarted knows from the engine's versions which leader was the last, and an older one that wakes is refused.
+	g.Fence = max(g.Fence, fenceOf(s))
 	if g.Seen && s.Epoch == g.Epoch {
 		return
 	}
--- a/shift/leader.go
+++ b/shift/leader.go
@@ -36,9 +36,24 @@
 	Next int64
 }
 
-// versionsPerFence leaves each leader versions of its own above those of all before it.
+// versionsPerFence leaves each leader versions of its own above those of all before it, so that a version tells who gave it.
 const versionsPerFence = 100_000
 
+// fenceOf returns the fence of the leader that gave the newest version of a rank, zero for the first map's.
+func fenceOf(s State) int64 {
+	return max(s.Map, s.Prepared, s.Armed) / versionsPerFence
+}
+
+// Outdone returns true when a rank has a version of a later leader.
+func (l *Leader) Outdone() bool {
+	for _, s := range l.Ranks {
+		if fenceOf(s) > l.Fence {
+			return true
+		}
+	}
+	return false
+}
+
 // NewLeader returns a leader that has to ask all ranks before it does anything.
 func NewLeader(fence int64, size int) *Leader {
 	return &Leader{
@@ -104,7 +119,7 @@
 
 // Begin starts a switch of all ranks, with the hold at one of them, and returns its version; ok is false while another is under way.
 func (l *Leader) Begin(holder int) (version int64, ok bool) {
-	if l.Phase != PhaseIdle {
+	if l.Phase != PhaseIdle || l.Outdone() {
 		return 0, false
 	}
 	l.Next++
