--- a/group/lead.go
+++ b/group/lead.go
@@ -15,23 +15,13 @@
 const (
 	// beatEvery is how often a leader lets every rank know that it lives.
 	beatEvery = 150 * time.Millisecond
-	// repeatAfter is when an order without an answer is given again; a copy takes longer, and its rank passes the repeats over.
-	repeatAfter = 200 * time.Millisecond
-	// repeatWhole is the same for an order with a whole map: those for all ranks of a group take a small link some 100 ms.
-	repeatWhole = 600 * time.Millisecond
 	// tickEvery is how often a leader looks for what is due beside the answers that come in.
 	tickEvery = 25 * time.Millisecond
-	// askEvery is the least time between two rounds of questions to all ranks: one that can't go on must not keep all of them busy.
-	askEvery = 50 * time.Millisecond
 	// dialEvery is how often ranks without a link are tried, listEvery how often the instances are read again while one is missing.
 	dialEvery = 250 * time.Millisecond
 	listEvery = 3 * time.Second
 	// foreignTime is how long an address is left alone that belongs to another group; groups are formed anew after a crash only.
 	foreignTime = 5 * time.Second
-	// holdTime is how long a hold may wait for its confirmation before the switch is given up; steps stall behind it.
-	holdTime = 400 * time.Millisecond
-	// prepareTime is how long all ranks may take to load what a map needs: a few copies of some 400 ms.
-	prepareTime = 3 * time.Second
 	// demandHalfLife weighs late counts against early ones while popularity stands still, which it does for two to four seconds.
 	demandHalfLife = time.Second
 	// leastSaving is the share of a step's expert part below which a switch is not begun: while one is under way, no other answers a turn of popularity.
@@ -235,109 +225,3 @@
 		Held:      r.Held,
 	}
 }
-
-// advance starts and gives up switches, and sends what the leader's phase asks for.
-func (d *leading) advance() {
-	now := d.m.Clock.Now()
-	d.noteChange(now)
-	if d.leader.Phase == shift.PhaseIdle {
-		d.begin()
-		d.noteChange(now)
-	}
-	d.expire(now)
-	d.noteChange(now)
-	d.send(now)
-}
-
-func (d *leading) noteChange(now time.Time) {
-	if d.leader.Phase != d.phase {
-		d.changed(now)
-	}
-}
-
-// changed notes a new phase.
-func (d *leading) changed(now time.Time) {
-	from := d.phase
-	d.phase = d.leader.Phase
-	d.entered = now
-	switch {
-	case d.phase == shift.PhaseIdle && from == shift.PhaseGo:
-		switches.Add(1)
-		mapCopies.Add(int64(d.copies))
-		d.m.Log.Info("map switched", "group", d.group, "version", d.leader.Version, "step", d.leader.Step, "copies", d.copies)
-		d.sets, d.inUse = d.next, d.leader.Version
-		if d.next == nil {
-			// It was an earlier leader's switch, whose map only the ranks know.
-			d.inUse = shift.None
-		}
-		copy(d.has, d.prepared)
-		d.next = nil
-	case d.phase == shift.PhaseAsk:
-		d.askFrom = d.asked.Add(askEvery)
-		d.asked = now
-		d.next, d.inUse = nil, shift.None
-		d.m.Log.Info("asking all ranks", "group", d.group, "from", from.String())
-	case d.phase == shift.PhaseIdle, d.phase == shift.PhaseRelease:
-		if from == shift.PhasePrepare || from == shift.PhaseHold {
-			abandoned.Add(1)
-			d.m.Log.Warn("switch given up", "group", d.group, "version", d.leader.Version, "from", from.String())
-			d.next = nil
-		}
-	}
-}
-
-// expire gives up a switch that takes too long and has armed nothing yet.
-func (d *leading) expire(now time.Time) {
-	waited := now.Sub(d.entered)
-	switch d.leader.Phase {
-	case shift.PhasePrepare:
-		if waited > prepareTime {
-			d.leader.Abandon()
-		}
-	case shift.PhaseHold:
-		if waited > holdTime {
-			d.leader.Abandon()
-		}
-	case shift.PhaseAsk, shift.PhaseIdle, shift.PhaseArm, shift.PhaseGo, shift.PhaseRelease:
-	}
-}
-
-// send gives the orders that are not answered yet, again after a while.
-func (d *leading) send(now time.Time) {
-	if d.leader.Phase == shift.PhaseAsk && now.Before(d.askFrom) {
-		return
-	}
-	for r, o := range d.leader.Orders() {
-		l := d.links[r]
-		byRows := d.has[r] == d.inUse && d.inUse != shift.None
-		again := repeatAfter
-		if o.Op == shift.OpPrepare && !byRows {
-			again = repeatWhole
-		}
-		if o.Op == 0 || l == nil || o == d.sent[r] && now.Sub(d.sentAt[r]) < again {
-			continue
-		}
-		if o != d.sent[r] {
-			// A repeat keeps its number, so that the answer to the first counts.
-			d.seq++
-			d.seqs[r] = d.seq
-		}
-		d.sent[r], d.sentAt[r] = o, now
-		f := &proto.GroupOrder{
-			Group:   d.group,
-			Fence:   o.Fence,
-			Seq:     d.seqs[r],
-			Op:      uint8(o.Op),
-			Epoch:   o.Epoch,
-			Version: o.Version,
-			Step:    o.Step,
-		}
-		switch {
-		case o.Op == shift.OpPrepare && byRows:
-			f.Base, f.Rows = d.inUse, d.rows
-		case o.Op == shift.OpPrepare:
-			f.Map = d.layout
-		}
-		_ = l.Send(&proto.Frame{RankOrder: f})
-	}
-}
