--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -234,6 +234,11 @@
 		return a.gone(verdictLost), 0
 	}
 	a.finished = a.reusable(resp)
+	if a.r.stream.begun {
+		// Only events can follow the events that the caller has.
+		a.r.reason = "resumed_" + strconv.Itoa(resp.StatusCode)
+		return a.gone(verdictLost), 0
+	}
 	ans := &answer{
 		status: resp.StatusCode,
 		header: resp.Header,
