Publish what the own watch says at a revision that a peer has told

New log lines of the view (kept) show it: an entry that had been cut off from the store told its peers first that an instance's entry had vanished, as kept for a while; 0.7 ms later the own watch of a peer said that it was gone. TestOwnNewsAfterAPeersOfTheSameRevision and TestLapsedAtAPeerIsDroppedWhileDown fail without.

--- a/fleet/book.go
+++ b/fleet/book.go
@@ -16,7 +16,7 @@
 // Book is the list of instances as one process knows it; it is not safe for use by several goroutines.
 type Book struct {
 	instances map[string]core.Instance
-	// lapsed holds instances whose entry vanished in an outage and that count until then.
+	// lapsed holds instances whose entry vanished in an outage and that count until then; the zero time stands for an outage that goes on.
 	lapsed map[string]time.Time
 	down   bool
 	// settled is when entries that vanish count as gone again.
@@ -31,9 +31,15 @@
 	}
 }
 
-// Lost notes that the store can't be reached.
+// Lost notes that the store can't be reached; what waits to report again can't do so until it is back.
 func (b *Book) Lost() {
+	if b.down {
+		return
+	}
 	b.down = true
+	for id := range b.lapsed {
+		b.lapsed[id] = time.Time{}
+	}
 }
 
 // Back notes that the store answers again; entries that vanished meanwhile count for Return longer.
@@ -43,8 +49,10 @@
 	}
 	b.down = false
 	b.settled = now.Add(Return)
-	for id := range b.lapsed {
-		b.lapsed[id] = b.settled
+	for id, until := range b.lapsed {
+		if until.IsZero() {
+			b.lapsed[id] = b.settled
+		}
 	}
 }
 
@@ -98,7 +106,7 @@
 }
 
 // Adopt takes the list of another process as it is: what that one has dropped is gone, whatever this one thinks of the store, and what
-// has lapsed there is kept for Return here as well.
+// has lapsed there is kept for Return here as well, also while the store is out of reach from here: the peer has reached it.
 func (b *Book) Adopt(list []core.Instance, lapsed []string, now time.Time) {
 	clear(b.instances)
 	clear(b.lapsed)
@@ -119,14 +127,17 @@
 	return out
 }
 
+// Kept returns true for an instance that is kept although its entry has vanished.
+func (b *Book) Kept(id string) bool {
+	_, ok := b.lapsed[id]
+	return ok
+}
+
 // Expire drops lapsed instances whose time is over and returns true when there were any.
 func (b *Book) Expire(now time.Time) bool {
-	if b.down {
-		return false
-	}
 	dropped := false
 	for id, until := range b.lapsed {
-		if now.Before(until) {
+		if until.IsZero() || now.Before(until) {
 			continue
 		}
 		delete(b.lapsed, id)
--- a/fleet/book_test.go
+++ b/fleet/book_test.go
@@ -111,3 +111,36 @@
 		})
 	}
 }
+
+// TestLapsedAtAPeerIsDroppedWhileDown has a process that can't reach the store itself learn from a peer, who can, that an entry has vanished:
+// it waited for its own return to the store and sent work to an instance that had left.
+func TestLapsedAtAPeerIsDroppedWhileDown(t *testing.T) {
+	in := core.Instance{ID: "i-1", Service: "svc"}
+	start := time.Unix(100, 0)
+	tests := []struct {
+		name string
+		do   func(b *Book)
+		at   time.Duration
+		want int
+	}{
+		{"learned while down, within its time", func(b *Book) { b.Lost(); b.Adopt([]core.Instance{in}, []string{in.ID}, start) }, Return - time.Millisecond, 1},
+		{"learned while down, its time over", func(b *Book) { b.Lost(); b.Adopt([]core.Instance{in}, []string{in.ID}, start); b.Lost() }, Return, 0},
+		{"not made longer by the own return", func(b *Book) {
+			b.Lost()
+			b.Adopt([]core.Instance{in}, []string{in.ID}, start)
+			b.Back(start.Add(Return / 2))
+		}, Return, 0},
+		{"lost once more meanwhile", func(b *Book) { b.Adopt([]core.Instance{in}, []string{in.ID}, start); b.Lost() }, Return, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := NewBook()
+			b.Put(in)
+			tt.do(b)
+			b.Expire(start.Add(tt.at))
+			if got := len(b.List()); got != tt.want {
+				t.Errorf("%d instances are left, want %d", got, tt.want)
+			}
+		})
+	}
+}
--- a/view/keeper.go
+++ b/view/keeper.go
@@ -103,9 +103,10 @@
 	}
 	for _, id := range gone {
 		k.book.Remove(id, now)
+		k.log.Info("entry vanished", "instance", id, "kept", k.book.Kept(id), "revision", c.Rev)
 	}
 	k.takeMembers(c)
-	if moved || c.Full {
+	if moved || c.Full || len(c.Put)+len(gone) > 0 {
 		k.publish()
 	}
 }
@@ -121,6 +122,9 @@
 	}
 	k.rev = s.Rev
 	k.book.Adopt(s.Instances, s.Lapsed, k.clock.Now())
+	if len(s.Lapsed) > 0 {
+		k.log.Info("entries vanished at a peer", "kept", s.Lapsed, "revision", s.Rev)
+	}
 	k.members = maps.Clone(s.Members)
 	k.publish()
 	return true
@@ -131,6 +135,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.book.Expire(k.clock.Now()) {
+		k.log.Info("instances whose entries vanished are dropped")
 		k.publish()
 	}
 }
--- a/view/view_test.go
+++ b/view/view_test.go
@@ -198,3 +198,20 @@
 		t.Fatal("ended early")
 	}
 }
+
+// TestOwnNewsAfterAPeersOfTheSameRevision has a peer that was cut off tell first of an entry that vanished, kept by it, and the own watch
+// tell next: the instance is gone, though the revision is known already.
+func TestOwnNewsAfterAPeersOfTheSameRevision(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	k := NewKeeper("front-1", clock, hclog.NewNullLogger())
+	in := core.Instance{ID: "i-1", Service: "svc"}
+	k.Apply(Change{Rev: 1, Full: true, Put: []core.Instance{in}})
+	k.Adopt(&Snapshot{Rev: 2, Instances: []core.Instance{in}, Lapsed: []string{in.ID}})
+	if _, ok := k.Now().Instance(in.ID); !ok {
+		t.Fatal("what the peer keeps is gone")
+	}
+	k.Apply(Change{Rev: 2, Gone: []string{in.ID}})
+	if _, ok := k.Now().Instance(in.ID); ok {
+		t.Error("the own watch said that the instance is gone, and it is still there")
+	}
+}
