Log whether a request was begun, an engine's pace, and that a machine stood still

Cause: the logs of the incident could not tell a request that waited at a server from one that ran, nor why passes took ten times as long, nor that a rank's machine had stood still.

--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -73,6 +73,9 @@
 	if err != nil {
 		return a.unanswered(err), 0
 	}
+	if r.begun.IsZero() {
+		r.begun = r.g.clock.Now()
+	}
 	if resp, err = a.read(); err != nil {
 		return a.unanswered(err), 0
 	}
--- a/gate/request.go
+++ b/gate/request.go
@@ -24,6 +24,8 @@
 	service *plan.Service
 
 	came time.Time
+	// begun is when the first byte of an upstream's answer came, zero before.
+	begun time.Time
 	// until is when the final answer is due.
 	until time.Time
 
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -48,6 +48,9 @@
 	statusBroken = -2
 )
 
+// notBegun stands in the log for a request that no upstream began to answer.
+const notBegun = -1
+
 // serve returns the status that the caller got.
 func (r *request) serve() int {
 	if r.g.leaving.Load() {
@@ -182,7 +185,16 @@
 		version = r.snap.Table.Version
 	}
 	r.g.log.Info("request", "id", r.call.ID, "route", name, "status", status, "reason", r.reason, "instance", r.instance,
-		"sends", r.sends, "ms", took.Milliseconds(), "event", r.stream.last, "table", version, "rev", r.snap.Rev)
+		"sends", r.sends, "ms", took.Milliseconds(), "begun_ms", r.begunAfter(), "event", r.stream.last, "table", version, "rev", r.snap.Rev)
+}
+
+// begunAfter is the time in ms from the request to the first byte of an upstream's answer, -1 when none came: a request that an upstream
+// took in and did not begin is told from one that it was working on.
+func (r *request) begunAfter() int64 {
+	if r.begun.IsZero() {
+		return notBegun
+	}
+	return r.begun.Sub(r.came).Milliseconds()
 }
 
 func resultOf(status int) meter.Result {
--- a/group/agent.go
+++ b/group/agent.go
@@ -28,6 +28,12 @@
 	timePerCount = 125 * time.Microsecond
 	// lossyTime is how long an order without an answer makes one expect more of them.
 	lossyTime = 5 * time.Second
+	// slowPace is how many times its usual time an engine takes for a step from which it counts as slow: what batches and long prompts cost
+	// is within the usual time, and one slow rank makes the whole group as slow.
+	slowPace = 1.5
+	// stillAfter is how much longer than asked for a pause lasts after which this process says that its machine stood still: several times
+	// what a busy machine keeps a process waiting.
+	stillAfter = time.Second
 	// refusals is how often an engine may refuse an order that its state allows before the leader is told that it doesn't fit.
 	refusals = 3
 )
@@ -53,6 +59,8 @@
 	mu     sync.Mutex
 	report Report
 	known  bool
+	// slow is true while the engine takes longer than usual for a step.
+	slow bool
 	// counts is how many counts the engine has.
 	counts int
 	// tally is what the leader has not been told yet of counts, toldAt when it last was; urgent is true once popularity has turned since.
@@ -93,7 +101,20 @@
 		if a.poll(ctx) {
 			wait = pollBusy
 		}
-		pause(ctx, wait)
+		a.rest(ctx, wait)
+	}
+}
+
+// rest pauses and says so when the machine stood still meanwhile: the engine beside, which stood still as well, keeps what it had taken in
+// until then. The steady clock doesn't count while a machine is suspended, the time of day jumps when it is set.
+func (a *Agent) rest(ctx context.Context, wait time.Duration) {
+	before := a.Clock.Now()
+	pause(ctx, wait)
+	now := a.Clock.Now()
+	steady := now.Sub(before)
+	daytime := now.Round(0).Sub(before.Round(0))
+	if max(steady, daytime) > wait+stillAfter {
+		a.Log.Warn("machine stood still, or its time was set", "steady", steady.String(), "daytime", daytime.String())
 	}
 }
 
@@ -172,6 +193,10 @@
 	if !a.known || rep.Epoch != a.report.Epoch || rep.Open != a.report.Open {
 		a.Log.Info("rank", "group", rep.Group, "rank", rep.Rank, "size", rep.Size, "epoch", rep.Epoch, "open", rep.Open, "map", rep.Map)
 	}
+	if slow := rep.Pace >= slowPace; slow != a.slow {
+		a.slow = slow
+		a.Log.Info("engine's pace", "slow", slow, "pace", rep.Pace, "step", rep.Step)
+	}
 	a.report = rep
 	a.known = true
 }
