Split the ledger by type

Cause: ledger/ledger.go had 309 lines and five types, and shard.go the methods of two of them. Change: session, claim, sessionShard and claimShard have a file each; claims.go has what the ledger does with claims. Pure moves: outside of imports, the sorted lines of the package are the same before and after; the longest file has 216 lines. Conclusion: no change of behaviour.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,32 +21,6 @@
 	claims      [shardCount]claimShard
 }
 
-type sessionShard struct {
-	mu       sync.Mutex
-	sessions map[Session]*session
-}
-
-type claimShard struct {
-	mu     sync.Mutex
-	claims map[string]*claim
-}
-
-// session holds one entry's attempts; all below floor are settled and refused when they come late.
-type session struct {
-	floor   uint64
-	records map[uint64]*record
-	seen    time.Time
-}
-
-// claim is a non-idempotent request with a caller's key; once it ran, or was refused here, that stays so.
-type claim struct {
-	digest  uint64
-	holder  Key
-	ran     bool
-	refused bool
-	expires time.Time
-}
-
 // New returns an empty ledger; sessions that are silent for the retention are forgotten.
 func New(clock clockwork.Clock, incarnation uint64, retention time.Duration) *Ledger {
 	l := &Ledger{
@@ -107,31 +80,6 @@
 	return Verdict{Action: ActionIgnore}
 }
 
-func (l *Ledger) offerClaim(o Offer) Verdict {
-	cs := l.claimShard(o.ClaimKey)
-	cs.mu.Lock()
-	defer cs.mu.Unlock()
-	c, ok := cs.claims[o.ClaimKey]
-	if !ok {
-		cs.claims[o.ClaimKey] = &claim{
-			digest:  o.ClaimDigest,
-			holder:  o.Key,
-			expires: l.clock.Now().Add(o.ClaimFor),
-		}
-		return Verdict{Action: ActionQueue}
-	}
-	if c.digest != o.ClaimDigest {
-		return refuse(core.ReasonKeyReused)
-	}
-	if c.refused {
-		return refuse(core.ReasonClaimMoved)
-	}
-	return Verdict{
-		Action: ActionAttach,
-		Holder: c.holder,
-	}
-}
-
 // Start moves an attempt from queued to running and returns false when it was refused in the meantime.
 func (l *Ledger) Start(k Key) bool {
 	s := l.sessionShard(k.Session)
@@ -154,18 +102,6 @@
 	return true
 }
 
-func (l *Ledger) startClaim(claimKey string, k Key) bool {
-	cs := l.claimShard(claimKey)
-	cs.mu.Lock()
-	defer cs.mu.Unlock()
-	c, ok := cs.claims[claimKey]
-	if !ok || c.holder != k || c.ran || c.refused {
-		return false
-	}
-	c.ran = true
-	return true
-}
-
 // Finish moves an attempt from running to done.
 func (l *Ledger) Finish(k Key) {
 	s := l.sessionShard(k.Session)
@@ -223,31 +159,6 @@
 	return true
 }
 
-// refuseClaim refuses a claim whose holder never ran for good, so that its home may be moved to another agent.
-func (l *Ledger) refuseClaim(claimKey string, k Key) {
-	if claimKey == "" {
-		return
-	}
-	cs := l.claimShard(claimKey)
-	cs.mu.Lock()
-	defer cs.mu.Unlock()
-	if c, ok := cs.claims[claimKey]; ok && c.holder == k && !c.ran {
-		c.refused = true
-	}
-}
-
-// ClaimClosed returns true when a claim was refused here for good without having run.
-func (l *Ledger) ClaimClosed(claimKey string) bool {
-	if claimKey == "" {
-		return false
-	}
-	cs := l.claimShard(claimKey)
-	cs.mu.Lock()
-	defer cs.mu.Unlock()
-	c, ok := cs.claims[claimKey]
-	return ok && c.refused && !c.ran
-}
-
 // State returns where an attempt stands, and false when it is not on record.
 func (l *Ledger) State(k Key) (State, bool) {
 	s := l.sessionShard(k.Session)
@@ -296,10 +207,6 @@
 	return &l.sessions[xxhash.Sum64String(s.Entry)%shardCount]
 }
 
-func (l *Ledger) claimShard(key string) *claimShard {
-	return &l.claims[xxhash.Sum64String(key)%shardCount]
-}
-
 func refuse(reason core.Reason) Verdict {
 	return Verdict{
 		Action:  ActionRefuse,
--- a/ledger/shard.go
+++ b/ledger/sessionshard.go
@@ -1,6 +1,14 @@
 package ledger
 
-import "time"
+import (
+	"sync"
+	"time"
+)
+
+type sessionShard struct {
+	mu       sync.Mutex
+	sessions map[Session]*session
+}
 
 func (s *sessionShard) get(of Session, now time.Time) *session {
 	ses, ok := s.sessions[of]
@@ -39,19 +47,3 @@
 	}
 	return n
 }
-
-func (s *claimShard) expire(now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for key, c := range s.claims {
-		if c.expires.Before(now) {
-			delete(s.claims, key)
-		}
-	}
-}
-
-func (s *claimShard) size() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.claims)
-}
