Split the leader of epmap by job

Cause: epmap/leader.go had 312 lines and two types. Change: RankView has a file; inquiry.go has what an inquiry decides, peek.go the look at rank 0. Pure moves: outside of imports, the sorted lines of the package are the same before and after; leader.go has under 200 lines. Run: gofmt, golangci-lint fmt and run, go vet without a finding; go test -race -count=1 passed in agent, start and platform/soak (all importers with tests but proof); go test -count=1 ./epmap with the explorations passed in 31.7 s, and with -race without them. Conclusion: no change of behaviour.

--- a/epmap/leader.go
+++ b/epmap/leader.go
@@ -1,16 +1,10 @@
 package epmap
 
-import (
-	"geraniumpass/check"
-	"geraniumpass/proto"
-)
+import "geraniumpass/proto"
 
 // versionsPerFence is how many switches one leader can make before it must take a new lease.
 const versionsPerFence = 1 << 20
 
-// maxDoubts is how many inquiries in a row may contradict themselves; each takes an agent that was restarted in its midst.
-const maxDoubts = 8
-
 // Leader drives the switches of one group under one fencing number; it is not safe for use by several goroutines.
 type Leader struct {
 	Fence uint64
@@ -23,14 +17,6 @@
 	doubts   int
 }
 
-// RankView is what a leader knows of one rank.
-type RankView struct {
-	Incarnation uint64
-	Answered    bool
-	OK          bool
-	State       proto.RankState
-}
-
 // NewLeader returns a leader that begins with an inquiry.
 func NewLeader(fence uint64, ranks int) *Leader {
 	l := &Leader{
@@ -154,76 +140,6 @@
 	}
 }
 
-// uncapped looks again when a rank still holds a promise that this leader did not know of.
-func (l *Leader) uncapped() {
-	l.Phase = PhaseSteady
-	for i := range l.Ranks {
-		if l.Ranks[i].State.Capped {
-			l.enter(PhaseInquire)
-			return
-		}
-	}
-}
-
-// inquired decides from what all ranks hold: a grant anywhere is finished, promises without a grant are taken back.
-func (l *Leader) inquired() {
-	if l.contradictory() {
-		// The answers are of different times, which happens when an agent lost its fence between them: ask again.
-		l.doubts++
-		check.Hold(check.OneMap, l.doubts < maxDoubts, "ranks still contradict each other after %d inquiries: %+v", l.doubts, l.Ranks)
-		l.enter(PhaseInquire)
-		return
-	}
-	l.doubts = 0
-	if v, step, ok := l.granted(); ok {
-		l.Plan = Plan{
-			Version: v,
-			Step:    step,
-		}
-		l.enter(PhaseGrant)
-		return
-	}
-	for i := range l.Ranks {
-		if !l.Ranks[i].State.Capped {
-			continue
-		}
-		if l.Phase == PhaseInquire {
-			l.enter(PhaseConfirm)
-		} else {
-			l.enter(PhaseUncap)
-		}
-		return
-	}
-	l.Phase = PhaseSteady
-}
-
-// contradictory returns true when one rank steps under a newer map than another that holds no promise for it.
-func (l *Leader) contradictory() bool {
-	newest := l.Version()
-	for i := range l.Ranks {
-		s := &l.Ranks[i].State
-		if s.Version != newest && (!s.Capped || s.CapMap != newest) {
-			return true
-		}
-	}
-	return false
-}
-
-// granted finds a switch whose grant has reached a rank that others have not followed yet.
-func (l *Leader) granted() (version, step uint64, ok bool) {
-	newest := l.Version()
-	for i := range l.Ranks {
-		s := &l.Ranks[i].State
-		if s.Granted {
-			return s.GrantMap, s.GrantStep, true
-		}
-		if s.Version != newest {
-			return newest, s.CapStep, true
-		}
-	}
-	return 0, 0, false
-}
-
 // margin is how far ahead of the ranks' steps a switch is set, so that the cap arrives in time.
 const margin = 16
 
@@ -268,40 +184,6 @@
 	}
 }
 
-// Peek returns an inquiry of rank 0 alone, for its map and popularity, while no switch is under way, and nil otherwise.
-func (l *Leader) Peek() *proto.Order {
-	if l.Phase != PhaseSteady {
-		return nil
-	}
-	return &proto.Order{
-		Incarnation: l.Ranks[0].Incarnation,
-		Fence:       l.Fence,
-		Seq:         l.Seq,
-		Kind:        proto.OrderInquire,
-		Full:        true,
-	}
-}
-
-// Peeked takes the reply to Peek and returns true when it is one; a restarted agent makes the leader inquire of all ranks.
-func (l *Leader) Peeked(r *proto.OrderReply) bool {
-	if l.Phase != PhaseSteady || r.Kind != proto.OrderInquire || r.Fence != l.Fence || r.Seq != l.Seq || !r.OK {
-		return false
-	}
-	if r.Incarnation != l.Ranks[0].Incarnation {
-		l.enter(PhaseInquire)
-		return false
-	}
-	l.Ranks[0].State = r.Rank
-	return true
-}
-
-// Inquire asks every rank anew, for a leader that was away or whose ranks have changed.
-func (l *Leader) Inquire() {
-	if l.Phase != PhaseDeposed {
-		l.enter(PhaseInquire)
-	}
-}
-
 // Version returns the map that the ranks are known to step under.
 func (l *Leader) Version() uint64 {
 	v := uint64(0)
