Split the deployment by job

Change: Options, upstreams, entries, launching and ending have a file each; the range of ports stands in port.go. Conclusion: no change of behaviour.

--- a/deploy/port.go
+++ b/deploy/port.go
@@ -9,6 +9,13 @@
 	"github.com/zeebo/errs/v2"
 )
 
+// The ports handed out lie below those that the kernel gives to outgoing connections, which would otherwise take them
+// between the moment they are chosen and the moment a process listens there.
+const (
+	firstPort = 12_000
+	lastPort  = 30_000
+)
+
 // FreeAddress returns an address of the loopback interface on which nobody listens.
 func FreeAddress() (string, error) {
 	return freeAddress()
