Split the measurements of capacity by role

Cause: cmd/capacity/roles.go had 353 lines with nine measurements, fleet.go two types. Change: requests and streams, control traffic, an agent's links, the document and placement have a file each, instantUpstream too; roles.go keeps what they share. Pure moves: outside of imports, the sorted lines of the package are the same before and after; roles.go has 41 lines. Run: gofmt, golangci-lint fmt and run, go vet without a finding; the package has no tests and no importers.

--- /dev/null
+++ b/cmd/capacity/control.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"sync"
+	"time"
+
+	"geraniumpass/config"
+	"geraniumpass/deploy"
+	"geraniumpass/oper"
+)
+
+func (r *runner) links() []series {
+	sizes := []int{24, 48, 96, 192}
+	var got []used
+	for _, n := range sizes {
+		s := r.site(1, n, 0, fastPace, oper.File{})
+		u, err := measure(s.entries[0], r.while)
+		must(err)
+		got = append(got, u)
+		s.close()
+	}
+	return usual("links", sizes, got)
+}
+
+func (r *runner) changes() []series {
+	sizes := []int{0, 2, 4, 8}
+	var got []used
+	s := r.site(1, 48, 0, fastPace, oper.File{})
+	defer s.close()
+	for _, n := range sizes {
+		stop := make(chan struct{})
+		var wg sync.WaitGroup
+		if n > 0 {
+			wg.Go(func() { r.changeAt(s, n, stop) })
+		}
+		u, err := measure(s.entries[0], r.while)
+		must(err)
+		close(stop)
+		wg.Wait()
+		got = append(got, u)
+	}
+	return usual("changes a second", sizes, got)
+}
+
+func (r *runner) changeAt(s *site, perSecond int, stop chan struct{}) {
+	t := time.NewTicker(time.Second / time.Duration(perSecond))
+	defer t.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-t.C:
+			must(s.retarget(perSecond*1000 + n))
+		}
+	}
+}
+
+func (r *runner) ranks() []series {
+	sizes := []int{64, 96, 128, 192, 256}
+	var got []used
+	for _, n := range sizes {
+		s := r.site(1, n, rankCount, fastPace, oper.File{
+			Groups: []config.Group{{
+				Name:         groupName,
+				Skew:         0.1,
+				MovesPerHour: 1,
+			}},
+		})
+		must(deploy.Until("the entry to lead", readyTime, func() bool {
+			st, err := s.operator(0).Status()
+			return err == nil && len(st.Groups) == 1 && st.Groups[0].Leading
+		}))
+		u, err := measure(s.entries[0], r.while)
+		must(err)
+		got = append(got, u)
+		s.close()
+	}
+	return usual("ranks, each a link", sizes, got)
+}
+
+func (r *runner) entries() []series {
+	sizes := []int{1, 2, 4, 8}
+	reads := series{name: "reads, watches among them", unit: "1/s", by: "entries"}
+	writes := series{name: "writes", unit: "1/s", by: "entries"}
+	for _, n := range sizes {
+		s := r.site(n, 6, 0, fastPace, oper.File{})
+		r0, w0 := s.kv.Calls()
+		started := time.Now()
+		time.Sleep(2 * r.while)
+		r1, w1 := s.kv.Calls()
+		sec := time.Since(started).Seconds()
+		reads.points = append(reads.points, point{x: float64(n), y: float64(r1-r0) / sec})
+		writes.points = append(writes.points, point{x: float64(n), y: float64(w1-w0) / sec})
+		s.close()
+	}
+	return []series{reads, writes}
+}
