Sum a placement's loads by the sum that place has

Cause: Skew and Spread each had a loop of their own for the sum that sumOf makes. Change: both call sumOf, which adds in the same order from zero, so that the result is the same to the last bit. Conclusion: one loop serves; no change of behaviour.

--- a/place/placement.go
+++ b/place/placement.go
@@ -51,10 +51,7 @@
 // Skew returns how far the most loaded rank lies above the mean, as a share of the mean.
 func (p *Placement) Skew(load []float64) float64 {
 	loads := p.Loads(load)
-	sum := 0.0
-	for _, l := range loads {
-		sum += l
-	}
+	sum := sumOf(loads)
 	if sum <= 0 {
 		return 0
 	}
@@ -64,10 +61,7 @@
 // Spread returns the distance between the most and the least loaded rank, as a share of the mean.
 func (p *Placement) Spread(load []float64) float64 {
 	loads := p.Loads(load)
-	sum := 0.0
-	for _, l := range loads {
-		sum += l
-	}
+	sum := sumOf(loads)
 	if sum <= 0 {
 		return 0
 	}
