Ask a peer for its link in one place

Cause: five places took a peer's lock, copied its link and let the lock go, each with the same three lines. Change: peer.present does it, for the heartbeat, the acknowledgement, the answer to an ask for configuration, the flush and a leader's order. Places that read more than the link under the lock stay as they were. Conclusion: one piece serves; what is locked and for how long is the same.

--- a/entry/grouplead.go
+++ b/entry/grouplead.go
@@ -137,10 +137,7 @@
 	if p == nil {
 		return
 	}
-	p.mu.Lock()
-	link := p.link
-	p.mu.Unlock()
-	if link != nil {
+	if link := p.present(); link != nil {
 		_ = link.Send(&proto.Frame{Order: o})
 	}
 }
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -28,9 +28,7 @@
 }
 
 func (p *peer) beat() {
-	p.mu.Lock()
-	l := p.link
-	p.mu.Unlock()
+	l := p.present()
 	if l == nil {
 		return
 	}
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -125,10 +125,7 @@
 }
 
 func (p *peer) ack(a *attempt, next uint32) {
-	p.mu.Lock()
-	l := p.link
-	p.mu.Unlock()
-	if l != nil {
+	if l := p.present(); l != nil {
 		_ = l.Send(&proto.Frame{Ack: &proto.Ack{
 			N:    a.n,
 			Next: next,
--- a/entry/peerframe.go
+++ b/entry/peerframe.go
@@ -24,10 +24,7 @@
 			p.e.log.Warn("configuration not taken", "agent", p.id, "error", err)
 		}
 	case f.ConfigAsk != nil:
-		p.mu.Lock()
-		l := p.link
-		p.mu.Unlock()
-		if l != nil {
+		if l := p.present(); l != nil {
 			config.Answer(p.e.config, l, f.ConfigAsk)
 		}
 	}
--- a/entry/peerlink.go
+++ b/entry/peerlink.go
@@ -37,6 +37,13 @@
 	return p.address
 }
 
+// present returns the link as it is now, nil while there is none.
+func (p *peer) present() *wire.Link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.link
+}
+
 // connected resumes what is open on the agent's present incarnation and gives up what was open on an earlier one.
 func (p *peer) connected(l *wire.Link) {
 	p.mu.Lock()
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -211,10 +211,7 @@
 // flush lets the last acknowledgements reach the agents.
 func (ps *peers) flush() {
 	for _, p := range ps.list() {
-		p.mu.Lock()
-		l := p.link
-		p.mu.Unlock()
-		if l != nil {
+		if l := p.present(); l != nil {
 			l.Flush(flushTime)
 		}
 	}
