Take header fields over in one place

Cause: agent and entry had the same loop, one over an answer's fields and one over a request's, each with its own list of what to skip. Change: proto.Headers takes a sequence of fields and the names to skip; the lists stay where they were. Conclusion: one loop serves; no change of behaviour.

--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -92,7 +91,7 @@
 	defer func() { _ = resp.CloseBodyStream() }()
 	head := &proto.Answer{
 		Status:  resp.StatusCode(),
-		Headers: responseHeaders(resp),
+		Headers: proto.Headers(resp.Header.All(), hopHeaders),
 	}
 	if err := part(head); err != nil {
 		return err
@@ -182,20 +181,6 @@
 	"server":              true,
 }
 
-func responseHeaders(resp *fasthttp.Response) []proto.Header {
-	var out []proto.Header
-	for k, v := range resp.Header.All() {
-		if hopHeaders[strings.ToLower(string(k))] {
-			continue
-		}
-		out = append(out, proto.Header{
-			Name:  string(k),
-			Value: string(v),
-		})
-	}
-	return out
-}
-
 // readEvents hands on one server-sent event a part and ends whole only after the closing event.
 func readEvents(body io.Reader, part func(*proto.Answer) error) error {
 	r := bufio.NewReader(body)
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -14,6 +14,7 @@
 	"github.com/gofiber/fiber/v3"
 
 	"geraniumpass/core"
+	"geraniumpass/proto"
 )
 
 const (
@@ -140,7 +141,7 @@
 // answer serves an admitted request, streamed or whole.
 func (e *Entry) answer(c fiber.Ctx, r *request) error {
 	r.class = e.config.Document().Classify(r.service, r.account, c.Get(headerLabel))
-	r.headers = requestHeaders(c)
+	r.headers = proto.Headers(c.Request().Header.All(), skipped)
 	r.body = append([]byte{}, c.Body()...)
 	e.open.Add(1)
 	if r.stream {
