Make the commands that take a name by one piece

Cause: class remove, account remove, group remove, drain and undrain had the same argument and action, and differed in words and kind only. Change: Command.named makes the five.

--- a/oper/account.go
+++ b/oper/account.go
@@ -24,14 +24,7 @@
 	set.Action(func(*kingpin.ParseContext) error {
 		return c.setAccount(*name, *files)
 	})
-	remove := account.Command("remove", "Remove an account.")
-	gone := remove.Arg("name", "Name of the account.").Required().String()
-	remove.Action(func(*kingpin.ParseContext) error {
-		return c.apply(config.Op{
-			Kind: config.OpRemoveAccount,
-			Name: *gone,
-		})
-	})
+	c.named(account.Command("remove", "Remove an account."), config.OpRemoveAccount, "name", "Name of the account.")
 }
 
 func (c *Command) setAccount(name string, files []string) error {
--- a/oper/class.go
+++ b/oper/class.go
@@ -17,14 +17,7 @@
 		return c.listClasses()
 	})
 	c.setClass(class.Command("set", "Create or replace a class."))
-	remove := class.Command("remove", "Remove a class.")
-	name := remove.Arg("name", "Name of the class.").Required().String()
-	remove.Action(func(*kingpin.ParseContext) error {
-		return c.apply(config.Op{
-			Kind: config.OpRemoveClass,
-			Name: *name,
-		})
-	})
+	c.named(class.Command("remove", "Remove a class."), config.OpRemoveClass, "name", "Name of the class.")
 	c.setTarget(app.Command("target", "Targets of classes.").Command("set", "Set the target of a class."))
 }
 
--- a/oper/group.go
+++ b/oper/group.go
@@ -26,14 +26,7 @@
 			Group: &g,
 		})
 	})
-	remove := group.Command("remove", "Remove a group's target, after which nothing is moved in it.")
-	name := remove.Arg("name", "Name of the group.").Required().String()
-	remove.Action(func(*kingpin.ParseContext) error {
-		return c.apply(config.Op{
-			Kind: config.OpRemoveGroup,
-			Name: *name,
-		})
-	})
+	c.named(group.Command("remove", "Remove a group's target, after which nothing is moved in it."), config.OpRemoveGroup, "name", "Name of the group.")
 }
 
 func (c *Command) listGroups() error {
--- a/oper/upstream.go
+++ b/oper/upstream.go
@@ -12,22 +12,8 @@
 )
 
 func (c *Command) upstreams(app *kingpin.Application) {
-	drain := app.Command("drain", "Take an upstream instance out of service; it finishes what it has.")
-	id := drain.Arg("instance", "Identity of the instance.").Required().String()
-	drain.Action(func(*kingpin.ParseContext) error {
-		return c.apply(config.Op{
-			Kind: config.OpDrain,
-			Name: *id,
-		})
-	})
-	undrain := app.Command("undrain", "Let an instance be used again once its agent has been restarted.")
-	back := undrain.Arg("instance", "Identity of the instance.").Required().String()
-	undrain.Action(func(*kingpin.ParseContext) error {
-		return c.apply(config.Op{
-			Kind: config.OpUndrain,
-			Name: *back,
-		})
-	})
+	c.named(app.Command("drain", "Take an upstream instance out of service; it finishes what it has."), config.OpDrain, "instance", "Identity of the instance.")
+	c.named(app.Command("undrain", "Let an instance be used again once its agent has been restarted."), config.OpUndrain, "instance", "Identity of the instance.")
 	app.Command("status", "Show upstreams, groups, targets and revisions as one entry sees them.").Action(func(*kingpin.ParseContext) error {
 		return c.status()
 	})
