Keep one name for deploy's free address

Cause: FreeAddress only called freeAddress, which the package itself used. Change: FreeAddress is the function, and the package calls it too. Conclusion: no change of behaviour.

--- a/deploy/entries.go
+++ b/deploy/entries.go
@@ -11,11 +11,11 @@
 func (d *Deployment) planEntries() ([]core.Instance, error) {
 	rows := make([]core.Instance, 0, d.Plan.Entries)
 	for i := range d.Plan.Entries {
-		control, err := freeAddress()
+		control, err := FreeAddress()
 		if err != nil {
 			return nil, err
 		}
-		listen, err := freeAddress()
+		listen, err := FreeAddress()
 		if err != nil {
 			return nil, err
 		}
--- a/deploy/port.go
+++ b/deploy/port.go
@@ -16,19 +16,14 @@
 	lastPort  = 30_000
 )
 
-// FreeAddress returns an address of the loopback interface on which nobody listens.
-func FreeAddress() (string, error) {
-	return freeAddress()
-}
-
 var nextPort atomic.Int64
 
 func init() {
 	nextPort.Store(firstPort + rand.Int64N((lastPort-firstPort)/2))
 }
 
-// freeAddress returns a port of the loopback interface on which nobody listens, a new one each time.
-func freeAddress() (string, error) {
+// FreeAddress returns an address of the loopback interface on which nobody listens, a new one each time.
+func FreeAddress() (string, error) {
 	for {
 		port := nextPort.Add(1)
 		if port >= lastPort {
--- a/deploy/upstreams.go
+++ b/deploy/upstreams.go
@@ -56,7 +56,7 @@
 }
 
 func (d *Deployment) startAgent(s Service, id, domain, upstream string, rank int) (*Process, error) {
-	address, err := freeAddress()
+	address, err := FreeAddress()
 	if err != nil {
 		return nil, err
 	}
