Measure a process by one piece in capacity

Cause: six measurements had the same lines to measure a process, to end at an error and to keep what was used. Change: runner.measured serves all six. In three of them what was used is now kept before the load is stopped and not after; nothing reads it in between. Conclusion: no change of behaviour.

--- a/cmd/capacity/agentlinks.go
+++ b/cmd/capacity/agentlinks.go
@@ -37,9 +37,7 @@
 			wg.Go(func() { beat(address, i, stop) })
 		}
 		time.Sleep(2 * settle)
-		u, err := measure(p, r.while)
-		must(err)
-		got = append(got, u)
+		got = append(got, r.measured(p))
 		close(stop)
 		wg.Wait()
 		p.Kill()
--- a/cmd/capacity/control.go
+++ b/cmd/capacity/control.go
@@ -14,9 +14,7 @@
 	var got []used
 	for _, n := range sizes {
 		s := r.site(1, n, 0, fastPace, oper.File{})
-		u, err := measure(s.entries[0], r.while)
-		must(err)
-		got = append(got, u)
+		got = append(got, r.measured(s.entries[0]))
 		s.close()
 	}
 	return usual("links", sizes, got)
@@ -33,11 +31,9 @@
 		if n > 0 {
 			wg.Go(func() { r.changeAt(s, n, stop) })
 		}
-		u, err := measure(s.entries[0], r.while)
-		must(err)
+		got = append(got, r.measured(s.entries[0]))
 		close(stop)
 		wg.Wait()
-		got = append(got, u)
 	}
 	return usual("changes a second", sizes, got)
 }
@@ -70,9 +66,7 @@
 			st, err := s.operator(0).Status()
 			return err == nil && len(st.Groups) == 1 && st.Groups[0].Leading
 		}))
-		u, err := measure(s.entries[0], r.while)
-		must(err)
-		got = append(got, u)
+		got = append(got, r.measured(s.entries[0]))
 		s.close()
 	}
 	return usual("ranks, each a link", sizes, got)
--- a/cmd/capacity/load.go
+++ b/cmd/capacity/load.go
@@ -36,11 +36,9 @@
 		var wg sync.WaitGroup
 		wg.Go(func() { send(s, n, tokens, stop, &wg) })
 		time.Sleep(settle / 2)
-		u, err := measure(s.entries[0], r.while)
-		must(err)
+		got = append(got, r.measured(s.entries[0]))
 		close(stop)
 		wg.Wait()
-		got = append(got, u)
 	}
 	return usual("requests a second", sizes, got)
 }
@@ -61,10 +59,8 @@
 			wg.Go(func() { c.Completion(service, prompt, count, true, "") })
 		}
 		time.Sleep(settle / 2)
-		u, err := measure(s.entries[0], r.while)
-		must(err)
+		got = append(got, r.measured(s.entries[0]))
 		wg.Wait()
-		got = append(got, u)
 	}
 	return usual("streams of 50 tokens/s", sizes, got)
 }
--- a/cmd/capacity/roles.go
+++ b/cmd/capacity/roles.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"geraniumpass/deploy"
 	"geraniumpass/oper"
 )
 
@@ -39,3 +40,10 @@
 	time.Sleep(settle)
 	return s
 }
+
+// measured returns what a process uses while one size is measured.
+func (r *runner) measured(p *deploy.Process) used {
+	u, err := measure(p, r.while)
+	must(err)
+	return u
+}
