Let the stand-ins read, answer and lose by one piece

Cause: stand and platform/emul each decoded requests, answered in JSON and closed connections without an answer, in the same lines. Conclusion: one piece serves; no change of behaviour.

--- a/stand/engine.go
+++ b/stand/engine.go
@@ -110,10 +110,10 @@
 	case "/health":
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		write(ctx, Health{Leaving: e.leaving})
+		WriteJSON(ctx, Health{Leaving: e.leaving})
 	case "/v1/cancel":
 		var req cancelRequest
-		if read(ctx, &req) {
+		if ReadJSON(ctx, &req) {
 			e.mu.Lock()
 			e.cancelled[req.ID] = time.Now()
 			e.mu.Unlock()
@@ -129,7 +129,7 @@
 
 func (e *Engine) complete(ctx *fasthttp.RequestCtx) {
 	var req completion
-	if !read(ctx, &req) {
+	if !ReadJSON(ctx, &req) {
 		return
 	}
 	if req.MaxTokens <= 0 {
@@ -148,7 +148,7 @@
 				return
 			}
 		}
-		write(ctx, whole(id, req, chat))
+		WriteJSON(ctx, whole(id, req, chat))
 		return
 	}
 	ctx.SetContentType("text/event-stream")
--- a/stand/list.go
+++ b/stand/list.go
@@ -60,8 +60,8 @@
 	case l.fault.Down:
 		ctx.Error("unavailable", fasthttp.StatusServiceUnavailable)
 	case l.fault.Stale:
-		write(ctx, l.shown)
+		WriteJSON(ctx, l.shown)
 	default:
-		write(ctx, l.rows)
+		WriteJSON(ctx, l.rows)
 	}
 }
--- a/stand/plain.go
+++ b/stand/plain.go
@@ -54,7 +54,7 @@
 	if string(ctx.Path()) == "/health" {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		write(ctx, Health{Leaving: p.leaving})
+		WriteJSON(ctx, Health{Leaving: p.leaving})
 		return
 	}
 	p.calls.Add(1)
@@ -65,15 +65,14 @@
 		time.Sleep(time.Duration(ms) * time.Millisecond)
 	}
 	if args.Has("lose") {
-		ctx.HijackSetNoResponse(true)
-		ctx.Hijack(closeConn)
+		LoseAnswer(ctx)
 		return
 	}
 	if status := args.GetUintOrZero("status"); status > 0 {
 		ctx.SetStatusCode(status)
 	}
 	ctx.Response.Header.Set("X-Echo", probe)
-	write(ctx, Echo{
+	WriteJSON(ctx, Echo{
 		Method: string(ctx.Method()),
 		Path:   string(ctx.Path()),
 		Query:  string(args.QueryString()),
--- a/stand/rank.go
+++ b/stand/rank.go
@@ -141,14 +141,14 @@
 		return
 	}
 	if ctx.IsGet() {
-		write(ctx, RankReply{
+		WriteJSON(ctx, RankReply{
 			OK:    true,
 			State: e.rank.State(),
 		})
 		return
 	}
 	var o RankOrder
-	if read(ctx, &o) {
-		write(ctx, e.rank.Order(o))
+	if ReadJSON(ctx, &o) {
+		WriteJSON(ctx, e.rank.Order(o))
 	}
 }
