Provide clock and log by one piece in start

Cause: base, of the entry and the agent, and process, of the platform's roles, built the same clock and log, and differed in where it goes. Change: provide builds both; base hands it hclog's default output, which is what no output meant, and process its own writer. What comes before it keeps its order.

--- a/start/gateway.go
+++ b/start/gateway.go
@@ -67,15 +67,7 @@
 		debug.SetMemoryLimit(int64(float64(limits.MemoryMB<<20) * memoryShare))
 	}
 	w := logio.New(os.Stdout)
-	i := do.New()
-	do.ProvideValue[clockwork.Clock](i, clockwork.NewRealClock())
-	do.ProvideValue(i, hclog.New(&hclog.LoggerOptions{
-		Name:       "geraniumpass",
-		Level:      hclog.LevelFromString(level(l)),
-		JSONFormat: l.JSON,
-		Output:     w,
-	}))
-	return i, w.Close
+	return provide(l, w), w.Close
 }
 
 // gateway is a running gateway role.
--- a/start/role.go
+++ b/start/role.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -71,12 +72,18 @@
 
 func base(cfg setup.Log) do.Injector {
 	check.FromEnvironment()
+	return provide(cfg, hclog.DefaultOutput)
+}
+
+// provide provides what every role needs: a clock, and a log that is written to out.
+func provide(cfg setup.Log, out io.Writer) do.Injector {
 	i := do.New()
 	do.ProvideValue[clockwork.Clock](i, clockwork.NewRealClock())
 	do.ProvideValue(i, hclog.New(&hclog.LoggerOptions{
 		Name:       "geraniumpass",
 		Level:      hclog.LevelFromString(level(cfg)),
 		JSONFormat: cfg.JSON,
+		Output:     out,
 	}))
 	return i
 }
