--- a/deploy/port.go
+++ b/deploy/port.go
@@ -9,10 +9,12 @@
 	"github.com/zeebo/errs/v2"
 )
 
-// FreeAddress returns an address of the loopback interface on which nobody listens.
-func FreeAddress() (string, error) {
-	return freeAddress()
-}
+// The ports handed out lie below those that the kernel gives to outgoing connections, which would otherwise take them
+// between the moment they are chosen and the moment a process listens there.
+const (
+	firstPort = 12_000
+	lastPort  = 30_000
+)
 
 var nextPort atomic.Int64
 
@@ -20,8 +22,8 @@
 	nextPort.Store(firstPort + rand.Int64N((lastPort-firstPort)/2))
 }
 
-// freeAddress returns a port of the loopback interface on which nobody listens, a new one each time.
-func freeAddress() (string, error) {
+// FreeAddress returns an address of the loopback interface on which nobody listens, a new one each time.
+func FreeAddress() (string, error) {
 	for {
 		port := nextPort.Add(1)
 		if port >= lastPort {
