Leave an upstream only for another that may be asked, within a stream too

A stream whose server falls silent between two events kept its caller waiting until it left, as before the first event. An upstream was left although no repeat was allowed, or no other upstream was there, so that its answer was given up for nothing (502). The time for a first event was counted from the head of a request, so that a long body used it up and the request was sent and left at once; dialling was not bounded by it; and a request given up in a stall of the whole group spoke against its instance. Change: an upstream is left when another was found and the repeat paid; a stream goes on elsewhere when other instances have begun answers since its last event; the time counts from the end of the body and bounds dialling; a stall speaks against no instance. A stream is never ended because of a pause.

--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -109,7 +109,8 @@
 		if !errors.As(err, &timeout) || !timeout.Timeout() || !now.Before(r.due()) || r.ctx.Err() != nil {
 			return err
 		}
-		if r.route.Kind == plan.KindIdempotent || r.g.pulse.alive(r.service.Name, now) || !a.othersSilent() {
+		elsewhere := r.route.Kind == plan.KindIdempotent || r.g.pulse.alive(r.service.Name, now) || !a.othersSilent()
+		if elsewhere && r.mayMove() {
 			return &SilentError{For: now.Sub(sent)}
 		}
 		patience = stillSilent
@@ -132,17 +133,21 @@
 	if !r.route.Repeatable() || r.sends >= r.route.Attempts {
 		return 0
 	}
-	aims := patienceAims
+	patience := max(time.Duration(patienceAims*float64(r.route.Aim)), leastPatience)
 	if r.route.Kind == plan.KindStream {
-		aims = streamPatienceAims
+		patience = r.streamPatience()
 	}
-	patience := max(time.Duration(aims*float64(r.route.Aim)), leastPatience)
 	if r.g.clock.Now().Add(2 * patience).After(r.until) {
 		return 0
 	}
 	return patience
 }
 
+// streamPatience is how long an upstream may keep a stream of this route waiting before another is asked.
+func (r *request) streamPatience() time.Duration {
+	return max(time.Duration(streamPatienceAims*float64(r.route.Aim)), leastPatience)
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"time"
@@ -61,11 +62,14 @@
 		if r.ctx.Err() != nil {
 			return statusGone
 		}
+		if r.due().Sub(r.g.clock.Now()) < leastLeft {
+			break
+		}
 		in, ok := r.pick()
 		if !ok {
 			break
 		}
-		if r.sends > 0 && !r.g.repeats.Repeat(r.g.clock.Now(), r.service.Name, entries(r.snap)) {
+		if r.sends > 0 && !r.payRepeat() {
 			r.g.loads.end(in.ID)
 			r.reason = "no_repeat_left"
 			break
@@ -83,7 +87,7 @@
 				return r.giveUp()
 			}
 		}
-		if r.sends >= r.route.Attempts || r.due().Sub(r.g.clock.Now()) < leastLeft {
+		if r.sends >= r.route.Attempts {
 			break
 		}
 	}
@@ -167,7 +171,9 @@
 	defer r.g.loads.end(in.ID)
 	r.tried[in.ID] = true
 	r.instance = in.ID
-	conn, err := r.g.pool.Get(r.ctx, in.Address, r.connections())
+	ctx, cancel := context.WithDeadline(r.ctx, r.due())
+	defer cancel()
+	conn, err := r.g.pool.Get(ctx, in.Address, r.connections())
 	if err != nil {
 		var full *pool.FullError
 		if !errors.As(err, &full) && r.ctx.Err() == nil {
@@ -189,8 +195,10 @@
 	case verdictDone:
 		r.g.loads.worked(in.ID, now)
 	case verdictLost:
-		r.g.loads.failed(in.ID, lostWeight, now)
-		r.g.pulse.refused(r.service.Name)
+		if !r.stalled(now) {
+			r.g.loads.failed(in.ID, lostWeight, now)
+			r.g.pulse.refused(r.service.Name)
+		}
 	case verdictNotRun:
 		r.g.loads.failed(in.ID, refusedWeight, now)
 		r.g.pulse.refused(r.service.Name)
--- /dev/null
+++ b/gate/move.go
@@ -0,0 +1,39 @@
+package gate
+
+import "time"
+
+// mayMove returns true when a request that its upstream keeps waiting may go on at another one, which is paid for then, and has the time to
+// begin there. An upstream is left only if so: it may still answer, and nobody else would.
+func (r *request) mayMove() bool {
+	if !r.route.Repeatable() || r.sends >= r.route.Attempts || r.due().Sub(r.g.clock.Now()) < r.route.Aim || !r.hasOther() {
+		return false
+	}
+	r.paid = r.paid || r.repeat()
+	return r.paid
+}
+
+// hasOther returns true when there is an instance that the request was not sent to.
+func (r *request) hasOther() bool {
+	for _, in := range r.g.view.Now().Usable(r.service.Name) {
+		if !r.tried[in.ID] {
+			return true
+		}
+	}
+	return false
+}
+
+// payRepeat takes one repeat of the allowance, unless it was taken before the last upstream was left.
+func (r *request) payRepeat() bool {
+	paid := r.paid || r.repeat()
+	r.paid = false
+	return paid
+}
+
+func (r *request) repeat() bool {
+	return r.g.repeats.Repeat(r.g.clock.Now(), r.service.Name, entries(r.snap))
+}
+
+// stalled returns true when the time for a first event is over while nothing of the service answers: that speaks against no instance.
+func (r *request) stalled(now time.Time) bool {
+	return !r.firstUntil.IsZero() && !r.stream.begun && !now.Before(r.firstUntil) && !r.g.pulse.alive(r.service.Name, now)
+}
--- a/gate/pulse.go
+++ b/gate/pulse.go
@@ -63,6 +63,13 @@
 	return b.refused >= darkRefusals && now.Sub(b.answered) > darkAfter
 }
 
+// since returns how long after a moment a service last began to answer, less than zero when it has not since.
+func (p *pulse) since(service string, t time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.get(service).answered.Sub(t)
+}
+
 // alive returns true when an answer of the service has begun lately.
 func (p *pulse) alive(service string, now time.Time) bool {
 	p.mu.Lock()
--- a/gate/request.go
+++ b/gate/request.go
@@ -34,6 +34,8 @@
 	// sends counts upstreams that were sent at least a byte, tried names them.
 	sends int
 	tried map[string]bool
+	// paid is true while a repeat has been taken of the allowance and not been made.
+	paid bool
 	// doubt is true once a send may have run without an answer.
 	doubt bool
 	// failure is an upstream's whole answer that a repeat may still better.
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -76,6 +76,9 @@
 		return status
 	}
 	r.stream.last = call.LastEvent
+	if r.route.Kind == plan.KindStream && r.route.Patience > firstEventMargin {
+		r.firstUntil = r.g.clock.Now().Add(r.route.Patience - firstEventMargin)
+	}
 	return r.exchange()
 }
 
@@ -99,9 +102,6 @@
 		limit = min(limit, r.call.Budget-callerMargin)
 	}
 	r.until = r.came.Add(limit)
-	if r.route.Kind == plan.KindStream && r.route.Patience > 0 {
-		r.firstUntil = r.came.Add(r.route.Patience - firstEventMargin)
-	}
 	r.service = r.pickService()
 	if r.service == nil {
 		return r.refuse("no_service", noTableAfter)
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 )
@@ -25,6 +26,10 @@
 	var pending []byte
 	chunk := make([]byte, readChunk)
 	for {
+		if err := a.awaitMore(resp); err != nil {
+			r.reason = "stream_silent"
+			return a.gone(verdictLost), 0
+		}
 		n, err := resp.Body.Read(chunk)
 		pending = append(pending, chunk[:n]...)
 		if end := bytes.LastIndex(pending, eventEnd); end >= 0 {
@@ -55,6 +60,32 @@
 	}
 }
 
+// awaitMore waits for more of a stream that has begun. An instance that falls silent is left for another while other instances of its
+// service have begun answers since: one whose machine stands still says nothing, not even that it is gone, and the caller leaves a stream
+// that pauses. The ranks of a group pause together, so that a slow or held group leaves nobody. A stream is never ended because of a pause.
+func (a *attempt) awaitMore(resp *http.Response) error {
+	r := a.r
+	if !r.stream.begun || !r.route.Repeatable() || resp.ContentLength == 0 || a.conn.Reader.Buffered() > 0 {
+		return nil
+	}
+	heard := r.g.clock.Now()
+	patience := r.streamPatience()
+	for {
+		_ = a.conn.SetDeadline(earlier(r.until, r.g.clock.Now().Add(patience)))
+		_, err := a.conn.Reader.Peek(1)
+		var timeout net.Error
+		now := r.g.clock.Now()
+		if !errors.As(err, &timeout) || !timeout.Timeout() || !now.Before(r.until) {
+			// What has come, or the end, is for the reader of the body to see.
+			return a.conn.SetDeadline(r.until)
+		}
+		if r.g.pulse.since(r.service.Name, heard) > aliveFor && r.mayMove() {
+			return &SilentError{For: now.Sub(heard)}
+		}
+		patience = stillSilent
+	}
+}
+
 // endStream passes on what follows the last event of an answer that came to its end.
 func (a *attempt) endStream(resp *http.Response, rest []byte, resumed bool) (verdict, int) {
 	r := a.r
