Failing tests: early ends that look complete, in other places

Looked for: bytes of one answer joined to another's, and answers that end early and look complete, in gate, pool, entry, agent and answer. Ruled out: answers of other requests on a kept connection (ids, TestAnswersBySituation), bytes left on a connection (pool.put, quiet).

--- /dev/null
+++ b/agent/upstream_test.go
@@ -0,0 +1,69 @@
+package agent
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"geraniumpass/proto"
+)
+
+// TestCutAnswersAreNotWhole has an upstream break off in the middle of what it framed: the last part must not be handed on.
+func TestCutAnswersAreNotWhole(t *testing.T) {
+	long := strings.Repeat("x", chunkBytes+chunkBytes/2)
+	for _, tt := range []struct {
+		name  string
+		raw   string
+		whole bool
+	}{
+		{"chunked, whole", "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", true},
+		{"chunked, cut within a chunk", "Transfer-Encoding: chunked\r\n\r\nff\r\nhalf", false},
+		{"chunked, cut between chunks", "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", false},
+		{"chunked, cut before the end of its trailer", "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n", false},
+		{"chunked, cut after some parts", "Transfer-Encoding: chunked\r\n\r\n20000\r\n" + long, false},
+		{"chunked, nothing of it", "Transfer-Encoding: chunked\r\n\r\n", false},
+		{"length, whole", "Content-Length: 5\r\n\r\nwhole", true},
+		{"length, cut", "Content-Length: 100\r\n\r\nhalf", false},
+		{"length, cut after some parts", "Content-Length: 200000\r\n\r\n" + long, false},
+		{"length, nothing of it", "Content-Length: 100\r\n\r\n", false},
+		{"events, cut", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: a\n\n\r\n", false},
+		{"events, whole", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\ne\r\ndata: [DONE]\n\n\r\n0\r\n\r\n", true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			ln, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = ln.Close() }()
+			go func() {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = c.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+tt.raw)
+			}()
+			last := false
+			err = NewHTTPUpstream(ln.Addr().String()).Do(&proto.Dispatch{
+				Request: "r-1",
+				Method:  http.MethodGet,
+				Path:    "/x",
+			}, time.Now().Add(testLimit), func(p *proto.Answer) error {
+				last = last || p.Last
+				return nil
+			})
+			var lost *LostError
+			if last != tt.whole || errors.As(err, &lost) == tt.whole {
+				t.Fatalf("ended as whole: %v, error %v; want whole: %v", last, err, tt.whole)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/entry/resume_test.go
@@ -0,0 +1,55 @@
+package entry
+
+import (
+	"errors"
+	"testing"
+
+	"geraniumpass/proto"
+)
+
+// TestOnlyEventsAreResumedByEvents has a stream break off after two events and go on at another upstream with a head that says what
+// follows: only what goes on behind the second event may be joined to it.
+func TestOnlyEventsAreResumedByEvents(t *testing.T) {
+	head := func(status int, headers ...string) *proto.Answer {
+		a := &proto.Answer{Status: status}
+		for i := 0; i < len(headers); i += 2 {
+			a.Headers = append(a.Headers, proto.Header{
+				Name:  headers[i],
+				Value: headers[i+1],
+			})
+		}
+		return a
+	}
+	const kind, from, events = "Content-Type", "X-Resume-From", "text/event-stream"
+	for _, tt := range []struct {
+		name          string
+		first, second *proto.Answer
+		ok            bool
+	}{
+		{"goes on", head(200, kind, events), head(200, kind, events, from, "2"), true},
+		{"goes on, with a parameter", head(200, kind, events), head(200, kind, events+"; charset=utf-8", from, "2"), true},
+		{"fails", head(200, kind, events), head(500, kind, "text/plain"), false},
+		{"fails in events", head(200, kind, events), head(500, kind, events, from, "2"), false},
+		{"sends something else", head(200, kind, events), head(200, kind, "application/json", from, "2"), false},
+		{"doesn't say what it sends", head(200, kind, events), head(200, from, "2"), false},
+		{"begins anew", head(200, kind, events), head(200, kind, events), false},
+		{"goes on elsewhere", head(200, kind, events), head(200, kind, events, from, "1"), false},
+		{"two bodies", head(200, kind, "application/json"), head(200, kind, "application/json"), false},
+		{"two failures", head(500, kind, "application/json"), head(500, kind, "application/json"), false},
+		{"events behind a body", head(200, kind, "application/json"), head(200, kind, events, from, "2"), false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			e, r, out := &Entry{}, &request{stream: true, idempotent: true}, newStreamSink()
+			for _, p := range []*proto.Answer{tt.first, {Data: []byte("data: 0\n\n")}, {Data: []byte("data: 1\n\n")}} {
+				if err := e.deliver(r, p, out); err != nil {
+					t.Fatal(err)
+				}
+			}
+			err := e.deliver(r, tt.second, out)
+			var busy *busyError
+			if tt.ok && err != nil || !tt.ok && !errors.As(err, &busy) {
+				t.Errorf("%v", err)
+			}
+		})
+	}
+}
