Take no part of an answer for the whole, and join only what goes on

Cause: takeAnswer read up to its bound and didn't look whether that was the end; io.ReadFull names the end within a piece by the error that a chunked body which breaks off gives; the product's entry asked of a second engine only the same status, so that another body, or a stream begun anew by an engine that doesn't know X-Resume-From, was joined to what the caller had. A caller's own X-Resume-From reached the engine. Ruled out: bodies with a length, whole bodies and events in the agent; numbered parts (answer.Assembler) and resumed links. Change: an answer beyond the bound is lost; a body ends by its own end only; an engine that goes on says so by the same header, only events are resumed, and callers' X-Resume-From stops at the entry. The agent's tests fail when the agent ends by itself.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -101,7 +101,9 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = a.Run(ctx)
+		if err := a.Run(ctx); err != nil {
+			t.Errorf("the agent ended: %v", err)
+		}
 	}()
 	t.Cleanup(func() {
 		cancel()
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -224,14 +224,14 @@
 	}
 }
 
-// readChunks hands on a body in pieces; a body shorter than its stated length is a lost upstream.
+// readChunks hands on a body in pieces; a body that breaks off or is shorter than its stated length is a lost upstream.
 func readChunks(body io.Reader, length int, part func(*proto.Answer) error) error {
 	total := 0
 	for {
 		chunk := make([]byte, chunkBytes)
-		n, err := io.ReadFull(body, chunk)
+		n, err := fill(body, chunk)
 		total += n
-		ended := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+		ended := errors.Is(err, io.EOF)
 		if err != nil && !ended {
 			return &LostError{Cause: err}
 		}
@@ -251,6 +251,20 @@
 	}
 }
 
+// fill reads until chunk is full or the body's own error. io.ReadFull would tell the end within a chunk by the very error that a body
+// which breaks off gives.
+func fill(body io.Reader, chunk []byte) (int, error) {
+	n := 0
+	for n < len(chunk) {
+		m, err := body.Read(chunk[n:])
+		n += m
+		if err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
 // lostPart ends an attempt whose upstream was lost.
 func lostPart() *proto.Answer {
 	return &proto.Answer{
--- a/entry/header.go
+++ b/entry/header.go
@@ -8,6 +8,12 @@
 	"geraniumpass/proto"
 )
 
+const (
+	// headerResume tells an engine how many events the caller has, and an engine that goes on there says so by the same header.
+	headerResume = "X-Resume-From"
+	eventStream  = "text/event-stream"
+)
+
 // skipped are the headers that are this hop's own business.
 var skipped = map[string]bool{
 	"authorization":     true,
@@ -21,6 +27,7 @@
 	"upgrade":           true,
 	"x-request-id":      true,
 	"x-request-timeout": true,
+	"x-resume-from":     true,
 	"expect":            true,
 }
 
@@ -37,3 +44,17 @@
 	}
 	return out
 }
+
+// headerOf returns the first value of a header, or nothing.
+func headerOf(headers []proto.Header, name string) string {
+	for _, h := range headers {
+		if strings.EqualFold(h.Name, name) {
+			return h.Value
+		}
+	}
+	return ""
+}
+
+func isEvents(headers []proto.Header) bool {
+	return strings.HasPrefix(headerOf(headers, fiber.HeaderContentType), eventStream)
+}
--- a/entry/request.go
+++ b/entry/request.go
@@ -30,6 +30,8 @@
 	delivered uint32
 	headSent  bool
 	status    int
+	// events is true when the head that the caller has been given announces events.
+	events bool
 	// tried names the agents that refused or lost the request.
 	tried map[string]bool
 	// sent is true once an attempt left for an agent that did not surely refuse it.
@@ -63,6 +65,11 @@
 	}
 }
 
+// resumable returns true when another attempt may go on behind what the caller has: only events are told apart by their number.
+func (r *request) resumable() bool {
+	return r.stream && (!r.headSent || r.events)
+}
+
 // sink is where an answer goes.
 type sink interface {
 	// Head takes the status and the headers, once.
--- a/entry/resume_test.go
+++ b/entry/resume_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"errors"
+	"net/http/httptest"
 	"testing"
 
+	"github.com/gofiber/fiber/v3"
+
 	"geraniumpass/proto"
 )
 
@@ -53,3 +56,23 @@
 		})
 	}
 }
+
+// TestCallersDoNotSayWhereAStreamGoesOn has a caller send the header by which entries tell engines what has been delivered.
+func TestCallersDoNotSayWhereAStreamGoesOn(t *testing.T) {
+	app := fiber.New()
+	var got []proto.Header
+	app.Get("/", func(c fiber.Ctx) error {
+		got = requestHeaders(c)
+		return nil
+	})
+	req := httptest.NewRequest(fiber.MethodGet, "/", nil)
+	req.Header.Set(headerResume, "5")
+	resp, err := app.Test(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if v := headerOf(got, headerResume); v != "" {
+		t.Errorf("engines would begin at %q", v)
+	}
+}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strconv"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -75,7 +76,7 @@
 			return res.err
 		case attemptLost:
 			r.sent = true
-			if !r.idempotent || !out.Reset() && !r.stream {
+			if !r.idempotent || !out.Reset() && !r.resumable() {
 				return core.Unknown(res.reason, "the upstream was lost while the request may have been running")
 			}
 		case attemptNotRun:
@@ -261,6 +262,7 @@
 		}
 		r.headSent = true
 		r.status = p.Status
+		r.events = isEvents(p.Headers)
 		return out.Head(p.Status, p.Headers)
 	}
 	if len(p.Data) == 0 {
@@ -272,9 +274,11 @@
 	return out.Data(p.Data)
 }
 
-// resumedHead refuses to splice an upstream's error into a stream that the caller has begun to read.
+// resumedHead refuses all that isn't the rest of the stream that the caller has begun to read: an upstream's error, another body, and an
+// upstream that doesn't say that it goes on where the last one broke off and would begin anew.
 func resumedHead(r *request, p *proto.Answer) error {
-	if p.Status != r.status {
+	goesOn := r.delivered == 0 || headerOf(p.Headers, headerResume) == strconv.FormatUint(uint64(r.delivered), 10)
+	if !r.events || p.Status != r.status || !isEvents(p.Headers) || !goesOn {
 		return &busyError{}
 	}
 	return nil
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -223,7 +223,7 @@
 
 // takeAnswer reads a whole answer and decides what it is worth.
 func (a *attempt) takeAnswer(resp *http.Response) (verdict, int) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	body, err := readWhole(resp.Body)
 	if a.reply.NotRun {
 		a.r.reason = "refused_" + strconv.Itoa(resp.StatusCode)
 		a.finished = err == nil && a.reusable(resp)
@@ -231,6 +231,7 @@
 	}
 	if err != nil {
 		a.r.reason = "answer_cut"
+		a.r.g.log.Debug("no whole answer", "id", a.r.call.ID, "instance", a.in.ID, "status", resp.StatusCode, "error", err)
 		return a.gone(verdictLost), 0
 	}
 	a.finished = a.reusable(resp)
@@ -259,6 +260,15 @@
 	return verdictDone, a.r.pass(ans)
 }
 
+// readWhole reads an answer up to its end and fails with a *LongError when that isn't within the bound: a part must not look whole.
+func readWhole(from io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(from, maxAnswer+1))
+	if err == nil && len(body) > maxAnswer {
+		return nil, &LongError{Limit: maxAnswer}
+	}
+	return body, err
+}
+
 // promises returns true for statuses that tell a caller that its request has not run.
 func promises(status int) bool {
 	switch status {
--- a/gate/error.go
+++ b/gate/error.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"strconv"
 	"time"
 )
 
@@ -23,3 +24,13 @@
 func (e *StrayError) Error() string {
 	return "got the answer to request " + e.ID
 }
+
+// LongError says that an answer is longer than what is taken in before it is passed on.
+type LongError struct {
+	Limit int
+}
+
+// Error names the limit.
+func (e *LongError) Error() string {
+	return "an answer of more than " + strconv.Itoa(e.Limit) + " bytes"
+}
--- a/stand/engine.go
+++ b/stand/engine.go
@@ -14,7 +14,7 @@
 	"geraniumpass/core"
 )
 
-// HeaderResume tells an engine how many tokens of the stream are already delivered.
+// HeaderResume tells an engine how many tokens of the stream are already delivered; its answer says by it that it goes on there.
 const HeaderResume = "X-Resume-From"
 
 // batchKnee is the number of concurrent streams beyond which each further one slows a step down.
@@ -152,6 +152,9 @@
 		return
 	}
 	ctx.SetContentType("text/event-stream")
+	if from > 0 {
+		ctx.Response.Header.Set(HeaderResume, strconv.Itoa(from))
+	}
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
 		e.running.Add(1)
 		defer e.running.Add(-1)
