Reset callers that know no chunks when a stream breaks off

Cause: to a caller of HTTP/1.0 a stream goes without a length and ends with its connection; the library closes that in order also where an answer is aborted, so that a broken stream looked complete. Ruled out: callers of HTTP/1.1 (the last chunk is lacking: all cases of TestBrokenStreamNeverLooksWhole), whole answers (they have a length). Change: such a connection is reset. No such caller has been seen; the platform's use HTTP/1.1.

--- a/gate/serve.go
+++ b/gate/serve.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -37,11 +38,25 @@
 	status := r.serve()
 	r.note(status)
 	if status == statusGone || status == statusBroken {
-		// The caller must not take what it has for a whole answer.
-		panic(http.ErrAbortHandler)
+		r.breakOff()
 	}
 }
 
+// breakOff ends the caller's connection so that it doesn't take what it has for a whole answer.
+func (r *request) breakOff() {
+	if !r.in.ProtoAtLeast(1, 1) {
+		// Such a caller knows no chunks: a connection that is closed in order is the end of a whole answer for it, a reset is not.
+		if c, _, err := http.NewResponseController(r.w).Hijack(); err == nil {
+			if t, ok := c.(*net.TCPConn); ok {
+				_ = t.SetLinger(0)
+			}
+			_ = c.Close()
+			return
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // Statuses of requests that end without a status line of their own.
 const (
 	statusGone   = -1
