--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -72,7 +72,8 @@
 func startAgent(t *testing.T, up Upstream) (*Agent, context.CancelFunc) {
 	t.Helper()
 	check.SetFatal(true)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	// Connections on the loopback interface start at 127.0.0.1, so that none takes the port before the agent listens on it.
+	ln, err := net.Listen("tcp", "127.0.8.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -90,6 +90,11 @@
 		return classify(err)
 	}
 	defer func() { _ = resp.CloseBodyStream() }()
+	return handOn(resp, part)
+}
+
+// handOn calls part for each piece of an answer.
+func handOn(resp *fasthttp.Response, part func(*proto.Answer) error) error {
 	head := &proto.Answer{
 		Status:  resp.StatusCode(),
 		Headers: responseHeaders(resp),
--- a/agent/upstream_test.go
+++ b/agent/upstream_test.go
@@ -3,12 +3,10 @@
 import (
 	"bufio"
 	"errors"
-	"io"
-	"net"
-	"net/http"
 	"strings"
 	"testing"
-	"time"
+
+	"github.com/valyala/fasthttp"
 
 	"geraniumpass/proto"
 )
@@ -35,31 +33,19 @@
 		{"events, whole", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\ne\r\ndata: [DONE]\n\n\r\n0\r\n\r\n", true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			ln, err := net.Listen("tcp4", "127.0.0.1:0")
+			resp := fasthttp.AcquireResponse()
+			defer fasthttp.ReleaseResponse(resp)
+			resp.StreamBody = true
+			last := false
+			err := resp.Read(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\n" + tt.raw)))
 			if err != nil {
-				t.Fatal(err)
+				err = classify(err)
+			} else {
+				err = handOn(resp, func(p *proto.Answer) error {
+					last = last || p.Last
+					return nil
+				})
 			}
-			defer func() { _ = ln.Close() }()
-			go func() {
-				c, err := ln.Accept()
-				if err != nil {
-					return
-				}
-				defer func() { _ = c.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+tt.raw)
-			}()
-			last := false
-			err = NewHTTPUpstream(ln.Addr().String()).Do(&proto.Dispatch{
-				Request: "r-1",
-				Method:  http.MethodGet,
-				Path:    "/x",
-			}, time.Now().Add(testLimit), func(p *proto.Answer) error {
-				last = last || p.Last
-				return nil
-			})
 			var lost *LostError
 			if last != tt.whole || errors.As(err, &lost) == tt.whole {
 				t.Fatalf("ended as whole: %v, error %v; want whole: %v", last, err, tt.whole)
