--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -27,7 +27,8 @@
 func startAgent(t *testing.T, up Upstream) (*Agent, context.CancelFunc) {
 	t.Helper()
 	check.SetFatal(true)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	// Connections on the loopback interface start at 127.0.0.1, so that none takes the port before the agent listens on it.
+	ln, err := net.Listen("tcp", "127.0.8.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -56,7 +57,9 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = a.Run(ctx)
+		if err := a.Run(ctx); err != nil {
+			t.Errorf("the agent ended: %v", err)
+		}
 	}()
 	t.Cleanup(func() {
 		cancel()
--- a/entry/header.go
+++ b/entry/header.go
@@ -1,5 +1,19 @@
 package entry
 
+import (
+	"strings"
+
+	"github.com/gofiber/fiber/v3"
+
+	"geraniumpass/proto"
+)
+
+const (
+	// headerResume tells an engine how many events the caller has, and an engine that goes on there says so by the same header.
+	headerResume = "X-Resume-From"
+	eventStream  = "text/event-stream"
+)
+
 // skipped are the headers that are this hop's own business.
 var skipped = map[string]bool{
 	"authorization":     true,
@@ -13,5 +27,20 @@
 	"upgrade":           true,
 	"x-request-id":      true,
 	"x-request-timeout": true,
+	"x-resume-from":     true,
 	"expect":            true,
 }
+
+// headerOf returns the first value of a header, or nothing.
+func headerOf(headers []proto.Header, name string) string {
+	for _, h := range headers {
+		if strings.EqualFold(h.Name, name) {
+			return h.Value
+		}
+	}
+	return ""
+}
+
+func isEvents(headers []proto.Header) bool {
+	return strings.HasPrefix(headerOf(headers, fiber.HeaderContentType), eventStream)
+}
--- a/gate/move.go
+++ b/gate/move.go
@@ -5,7 +5,7 @@
 // mayMove returns true when a request that its upstream keeps waiting may go on at another one, which is paid for then, and has the time to
 // begin there. An upstream is left only if so: it may still answer, and nobody else would.
 func (r *request) mayMove() bool {
-	if !r.route.Repeatable() || r.sends >= r.route.Attempts || r.due().Sub(r.g.clock.Now()) < r.route.Aim || !r.hasOther() {
+	if !r.route.Repeatable() || r.stream.unnumbered || r.sends >= r.route.Attempts || r.due().Sub(r.g.clock.Now()) < r.route.Aim || !r.hasOther() {
 		return false
 	}
 	r.paid = r.paid || r.repeat()
