See a reset within a stream, which a connection tells only once

Cause: the wait for more of a stream looked at the connection before the body's reader did. A reset was told to the wait, and the reader then found the end of a connection closed in order: an answer without a length that broke off looked complete. Change: what the wait finds broken ends the run as cut.

--- a/gate/stream.go
+++ b/gate/stream.go
@@ -27,7 +27,11 @@
 	chunk := make([]byte, readChunk)
 	for {
 		if err := a.awaitMore(resp); err != nil {
-			r.reason = "stream_silent"
+			r.reason = "stream_cut"
+			var silent *SilentError
+			if errors.As(err, &silent) {
+				r.reason = "stream_silent"
+			}
 			return a.gone(verdictLost), 0
 		}
 		n, err := resp.Body.Read(chunk)
@@ -76,11 +80,14 @@
 	for {
 		_ = a.conn.SetDeadline(earlier(r.until, r.g.clock.Now().Add(patience)))
 		_, err := a.conn.Reader.Peek(1)
+		if err == nil || errors.Is(err, io.EOF) {
+			return a.conn.SetDeadline(r.until)
+		}
 		var timeout net.Error
 		now := r.g.clock.Now()
 		if !errors.As(err, &timeout) || !timeout.Timeout() || !now.Before(r.until) {
-			// What has come, or the end, is for the reader of the body to see.
-			return a.conn.SetDeadline(r.until)
+			// A connection tells of a reset only once; after that it would look as if the answer had come to its end.
+			return err
 		}
 		if r.g.pulse.since(r.service.Name, heard) > aliveFor && r.mayMove() {
 			return &SilentError{For: now.Sub(heard)}
