--- a/gate/stream.go
+++ b/gate/stream.go
@@ -27,11 +27,7 @@
 	chunk := make([]byte, readChunk)
 	for {
 		if err := a.awaitMore(resp); err != nil {
-			r.reason = "stream_cut"
-			var silent *SilentError
-			if errors.As(err, &silent) {
-				r.reason = "stream_silent"
-			}
+			r.reason = cutReason(err)
 			return a.gone(verdictLost), 0
 		}
 		n, err := resp.Body.Read(chunk)
@@ -45,13 +41,11 @@
 				r.reason = "event_order"
 				return a.gone(verdictLost), 0
 			}
-			first := !r.stream.begun
 			if !r.deliver(resp, pending[:end]) {
 				return verdictGone, 0
 			}
-			if first {
-				_ = a.conn.SetDeadline(r.due())
-			}
+			// What was due for the first event is for the whole stream from here on.
+			_ = a.conn.SetDeadline(r.due())
 			r.stream.last = last
 			r.stream.unnumbered = r.stream.unnumbered || !numbered
 			pending = append(pending[:0], pending[end:]...)
@@ -67,6 +61,15 @@
 	}
 }
 
+// cutReason tells a stream that was left from one that broke off.
+func cutReason(err error) string {
+	var silent *SilentError
+	if errors.As(err, &silent) {
+		return "stream_silent"
+	}
+	return "stream_cut"
+}
+
 // awaitMore waits for more of a stream that has begun. An instance that falls silent is left for another while other instances of its
 // service have begun answers since: one whose machine stands still says nothing, not even that it is gone, and the caller leaves a stream
 // that pauses. The ranks of a group pause together, so that a slow or held group leaves nobody. A stream is never ended because of a pause.
