Keep what is known of an instance to one start of it, and take no entry that names none

Cause: a server may start again under its id, told by its start time, and anybody may write under the prefix of the instances. What an entry remembered of an instance (loads, silence, failures, requests tried, connections) went by its id alone; the decoder took an entry in any state, without an address, of any type of field that it didn't read, for a usable instance. Changed: core.Start names one start. Loads, tried and connections go by it; the book and a peer's list never let an earlier start replace a later one, also after its entry has gone; the guard of a switch leaves a margin, the leader asks anew, the agent drops its counts. Ruled out: to let the last good entry of that id stand: a read could not tell it, so that two entries would differ for good.

--- a/core/instance.go
+++ b/core/instance.go
@@ -22,4 +22,20 @@
 	Leaving bool   `json:"leaving"`
 	// Slots is how many requests it runs at once, zero when unknown.
 	Slots int `json:"slots,omitempty"`
+	// Born is when its process started, in Unix milliseconds by its own clock, zero when it doesn't say.
+	Born int64 `json:"born,omitempty"`
+}
+
+// Start identifies one start of an instance: a process that starts again under the same id knows nothing of what came before.
+type Start struct {
+	ID   string
+	Born int64
+}
+
+// Start returns the start of the instance that this row tells of.
+func (in Instance) Start() Start {
+	return Start{
+		ID:   in.ID,
+		Born: in.Born,
+	}
 }
--- a/fleet/book.go
+++ b/fleet/book.go
@@ -13,12 +13,17 @@
 // Doubted is how long instances are kept that vanished together; it leaves half a second of the two within which one that left must get no more work.
 const Doubted = 1500 * time.Millisecond
 
+// bornKept bounds how many starts of instances are remembered: some hundred times what a fleet of today replaces while late words of them may come.
+const bornKept = 1 << 14
+
 // Book is the list of instances as one process knows it; it is not safe for use by several goroutines.
 type Book struct {
 	instances map[string]core.Instance
 	// lapsed holds instances whose entry vanished in an outage and that count until then; the zero time stands for an outage that goes on.
 	lapsed map[string]time.Time
-	down   bool
+	// born is the newest start known of each instance, kept for longer than its entry: a late word of an earlier start must not bring that back.
+	born map[string]int64
+	down bool
 	// settled is when entries that vanish count as gone again.
 	settled time.Time
 }
@@ -28,6 +33,7 @@
 	return &Book{
 		instances: make(map[string]core.Instance),
 		lapsed:    make(map[string]time.Time),
+		born:      make(map[string]int64),
 	}
 }
 
@@ -63,10 +69,43 @@
 	}
 }
 
-// Put takes an instance's entry.
-func (b *Book) Put(in core.Instance) {
+// Put takes an instance's entry and returns false for one of an earlier start than the newest known, which changes nothing.
+func (b *Book) Put(in core.Instance) bool {
+	if !b.newest(in) {
+		return false
+	}
 	delete(b.lapsed, in.ID)
 	b.instances[in.ID] = in
+	return true
+}
+
+// newest returns false for an entry of an earlier start, and remembers a later one.
+func (b *Book) newest(in core.Instance) bool {
+	if in.Born < b.born[in.ID] {
+		return false
+	}
+	if in.Born > 0 {
+		b.born[in.ID] = in.Born
+	}
+	if len(b.born) > bornKept {
+		b.forgetStarts()
+	}
+	return true
+}
+
+// forgetStarts drops the starts of instances that are not listed any more.
+func (b *Book) forgetStarts() {
+	for id := range b.born {
+		if _, ok := b.instances[id]; !ok {
+			delete(b.born, id)
+		}
+	}
+}
+
+// Drop takes an instance out at once, whatever the store's outages: its entry is there and names no instance to use.
+func (b *Book) Drop(id string) {
+	delete(b.instances, id)
+	delete(b.lapsed, id)
 }
 
 // Remove takes the end of an entry: the instance is gone, unless an outage may have made the entry lapse.
@@ -108,10 +147,16 @@
 // Adopt takes the list of another process as it is: what that one has dropped is gone, whatever this one thinks of the store, and what
 // has lapsed there is kept for Return here as well, also while the store is out of reach from here: the peer has reached it.
 func (b *Book) Adopt(list []core.Instance, lapsed []string, now time.Time) {
-	clear(b.instances)
+	old := b.instances
+	b.instances = make(map[string]core.Instance, len(list))
 	clear(b.lapsed)
 	for _, in := range list {
-		b.instances[in.ID] = in
+		switch own, known := old[in.ID]; {
+		case b.newest(in):
+			b.instances[in.ID] = in
+		case known:
+			b.instances[in.ID] = own
+		}
 	}
 	for _, id := range lapsed {
 		b.lapsed[id] = now.Add(Return)
--- a/fleet/book_test.go
+++ b/fleet/book_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -144,3 +145,35 @@
 		})
 	}
 }
+
+// TestOnlyLaterStartsReplace has words of two starts of one instance come in any order and by any way.
+func TestOnlyLaterStartsReplace(t *testing.T) {
+	start := time.Unix(1000, 0)
+	earlier := core.Instance{ID: "i", Address: "a", Born: 100}
+	later := core.Instance{ID: "i", Address: "b", Born: 200}
+	unknown := core.Instance{ID: "i", Address: "c"}
+	tests := []struct {
+		name string
+		play func(b *Book)
+		want []core.Instance
+	}{
+		{"a later one", func(b *Book) { b.Put(earlier); b.Put(later) }, []core.Instance{later}},
+		{"an earlier one comes late", func(b *Book) { b.Put(later); b.Put(earlier) }, []core.Instance{later}},
+		{"one that doesn't say", func(b *Book) { b.Put(later); b.Put(unknown) }, []core.Instance{later}},
+		{"in a whole list", func(b *Book) { b.Put(later); b.Replace([]core.Instance{earlier}, start) }, []core.Instance{later}},
+		{"in a peer's list", func(b *Book) { b.Put(later); b.Adopt([]core.Instance{earlier}, nil, start) }, []core.Instance{later}},
+		{"after the entry has gone", func(b *Book) { b.Put(later); b.Remove("i", start); b.Put(earlier) }, nil},
+		{"in a peer's list after that", func(b *Book) { b.Put(later); b.Remove("i", start); b.Adopt([]core.Instance{earlier}, nil, start) }, nil},
+		{"a start that was leaving is replaced", func(b *Book) { e := earlier; e.Leaving = true; b.Put(e); b.Put(later) }, []core.Instance{later}},
+		{"an entry that names no instance", func(b *Book) { b.Lost(); b.Put(later); b.Drop("i") }, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := NewBook()
+			tt.play(b)
+			if got := b.List(); !slices.Equal(got, tt.want) {
+				t.Errorf("got %+v, want %+v", got, tt.want)
+			}
+		})
+	}
+}
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -67,9 +67,9 @@
 	}
 	a.r.sends++
 	sent := r.g.clock.Now()
-	r.g.loads.waits(a.in.ID, sent)
+	r.g.loads.waits(a.in.Start(), sent)
 	err := a.awaitFirst(sent)
-	r.g.loads.waited(a.in.ID, sent)
+	r.g.loads.waited(a.in.Start(), sent)
 	if err != nil {
 		return a.unanswered(err), 0
 	}
@@ -80,7 +80,7 @@
 		return a.unanswered(err), 0
 	}
 	if a.reply.Slots > 0 {
-		a.r.g.loads.report(a.in.ID, a.reply.Running, a.reply.Waiting, a.r.g.clock.Now())
+		a.r.g.loads.report(a.in.Start(), a.reply.Running, a.reply.Waiting, a.r.g.clock.Now())
 	}
 	if a.streams(resp) {
 		return a.passStream(resp)
@@ -120,7 +120,7 @@
 // othersSilent returns true when this entry waits for another instance of the service as well.
 func (a *attempt) othersSilent() bool {
 	for _, in := range a.r.g.view.Now().Usable(a.r.service.Name) {
-		if in.ID != a.in.ID && a.r.g.loads.silent(in.ID, a.r.g.clock.Now()) > 0 {
+		if in.Start() != a.in.Start() && a.r.g.loads.silent(in.Start(), a.r.g.clock.Now()) > 0 {
 			return true
 		}
 	}
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -70,7 +70,7 @@
 			break
 		}
 		if r.sends > 0 && !r.payRepeat() {
-			r.g.loads.end(in.ID)
+			r.g.loads.end(in.Start())
 			r.reason = "no_repeat_left"
 			break
 		}
@@ -136,7 +136,7 @@
 	snap := r.g.view.Now()
 	var list []core.Instance
 	for _, in := range snap.Usable(r.service.Name) {
-		if !r.tried[in.ID] {
+		if !r.tried[in.Start()] {
 			list = append(list, in)
 		}
 	}
@@ -147,37 +147,37 @@
 	defer r.g.pickMu.Unlock()
 	seen := make([]route.Seen, len(list))
 	for i, in := range list {
-		load, failures := r.g.loads.estimate(in.ID, now)
+		load, failures := r.g.loads.estimate(in.Start(), now)
 		seen[i] = route.Seen{
 			Domain:  in.Domain,
 			Load:    load,
 			Slots:   in.Slots,
 			Near:    near[in.ID],
 			Penalty: failures * failurePenalty,
-			Open:    r.g.pool.Idle(in.Address) > 0,
-			Barred:  failures > barAfter || alive && r.g.loads.silent(in.ID, now) > silentAfter,
+			Open:    r.g.pool.Idle(targetOf(in)) > 0,
+			Barred:  failures > barAfter || alive && r.g.loads.silent(in.Start(), now) > silentAfter,
 		}
 	}
 	i := route.Least(seen, r.g.opts.Domain, r.g.picks)
 	if i < 0 {
 		return core.Instance{}, false
 	}
-	r.g.loads.begin(list[i].ID)
+	r.g.loads.begin(list[i].Start())
 	return list[i], true
 }
 
 // attempt sends the request to one instance and passes its answer on when it is one.
 func (r *request) attempt(in core.Instance) (verdict, int) {
-	defer r.g.loads.end(in.ID)
-	r.tried[in.ID] = true
+	defer r.g.loads.end(in.Start())
+	r.tried[in.Start()] = true
 	r.instance = in.ID
 	ctx, cancel := context.WithDeadline(r.ctx, r.due())
 	defer cancel()
-	conn, err := r.g.pool.Get(ctx, in.Address, r.connections())
+	conn, err := r.g.pool.Get(ctx, targetOf(in), r.connections())
 	if err != nil {
 		var full *pool.FullError
 		if !errors.As(err, &full) && r.ctx.Err() == nil {
-			r.g.loads.failed(in.ID, lostWeight, r.g.clock.Now())
+			r.g.loads.failed(in.Start(), lostWeight, r.g.clock.Now())
 		}
 		r.g.log.Debug("no connection", "id", r.call.ID, "instance", in.ID, "error", err)
 		r.reason = "no_connection"
@@ -193,22 +193,30 @@
 	now := r.g.clock.Now()
 	switch v {
 	case verdictDone:
-		r.g.loads.worked(in.ID, now)
+		r.g.loads.worked(in.Start(), now)
 	case verdictLost:
 		if !r.stalled(now) {
-			r.g.loads.failed(in.ID, lostWeight, now)
+			r.g.loads.failed(in.Start(), lostWeight, now)
 			r.g.pulse.refused(r.service.Name)
 		}
 	case verdictNotRun:
-		r.g.loads.failed(in.ID, refusedWeight, now)
+		r.g.loads.failed(in.Start(), refusedWeight, now)
 		r.g.pulse.refused(r.service.Name)
 	case verdictFailed:
-		r.g.loads.failed(in.ID, failureWeight, now)
+		r.g.loads.failed(in.Start(), failureWeight, now)
 	case verdictUnsent, verdictGone:
 	}
 	return v, status
 }
 
+// targetOf returns where connections to the present start of an instance go.
+func targetOf(in core.Instance) pool.Target {
+	return pool.Target{
+		Address: in.Address,
+		Born:    in.Born,
+	}
+}
+
 // connections is this entry's part of what an instance accepts from all callers.
 func (r *request) connections() int {
 	if r.service.MaxConnections <= 0 {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 
+	"geraniumpass/core"
 	"geraniumpass/meter"
 	"geraniumpass/pool"
 	"geraniumpass/retry"
@@ -83,17 +84,17 @@
 	return g.inFlight.Load()
 }
 
-// Sweep forgets what belongs to instances that are gone.
+// Sweep forgets what belongs to instances, or to starts of them, that are gone.
 func (g *Gate) Sweep() {
 	s := g.view.Now()
-	addresses := make(map[string]bool, len(s.Instances))
+	targets := make(map[pool.Target]bool, len(s.Instances))
 	for _, in := range s.Instances {
-		addresses[in.Address] = true
+		targets[targetOf(in)] = true
 	}
-	g.pool.Forget(func(address string) bool { return addresses[address] })
-	g.loads.forget(func(id string) bool {
-		_, ok := s.Instance(id)
-		return ok
+	g.pool.Forget(func(t pool.Target) bool { return targets[t] })
+	g.loads.forget(func(start core.Start) bool {
+		in, ok := s.Instance(start.ID)
+		return ok && in.Start() == start
 	})
 }
 
--- a/gate/loads.go
+++ b/gate/loads.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"geraniumpass/core"
 )
 
 const (
@@ -20,10 +22,10 @@
 	barAfter = 2.5
 )
 
-// loads is what this entry has seen of each instance.
+// loads is what this entry has seen of each start of an instance: what was seen of an earlier one says nothing of the present.
 type loads struct {
 	mu sync.Mutex
-	by map[string]*load
+	by map[core.Start]*load
 }
 
 type load struct {
@@ -40,53 +42,53 @@
 }
 
 func newLoads() *loads {
-	return &loads{by: make(map[string]*load)}
+	return &loads{by: make(map[core.Start]*load)}
 }
 
-func (l *loads) get(id string) *load {
-	ld := l.by[id]
+func (l *loads) get(start core.Start) *load {
+	ld := l.by[start]
 	if ld == nil {
 		ld = &load{}
-		l.by[id] = ld
+		l.by[start] = ld
 	}
 	return ld
 }
 
 // begin counts a request sent to an instance and end its end.
-func (l *loads) begin(id string) {
+func (l *loads) begin(start core.Start) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.get(id).own++
+	l.get(start).own++
 }
 
-func (l *loads) end(id string) {
+func (l *loads) end(start core.Start) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.get(id).own--
+	l.get(start).own--
 }
 
 // waits notes that a request was sent at a time and waits for its answer, waited that it does no more.
-func (l *loads) waits(id string, sent time.Time) {
+func (l *loads) waits(start core.Start, sent time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	ld := l.get(id)
+	ld := l.get(start)
 	ld.waiting = append(ld.waiting, sent)
 }
 
-func (l *loads) waited(id string, sent time.Time) {
+func (l *loads) waited(start core.Start, sent time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	ld := l.get(id)
+	ld := l.get(start)
 	if i := slices.Index(ld.waiting, sent); i >= 0 {
 		ld.waiting = slices.Delete(ld.waiting, i, i+1)
 	}
 }
 
 // silent returns how long the oldest request waits that an instance has not begun to answer.
-func (l *loads) silent(id string, now time.Time) time.Duration {
+func (l *loads) silent(start core.Start, now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	ld, ok := l.by[id]
+	ld, ok := l.by[start]
 	if !ok || len(ld.waiting) == 0 {
 		return 0
 	}
@@ -94,29 +96,29 @@
 }
 
 // report takes the load that an instance told.
-func (l *loads) report(id string, running, waiting int, now time.Time) {
+func (l *loads) report(start core.Start, running, waiting int, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	ld := l.get(id)
+	ld := l.get(start)
 	ld.reported = float64(running + waiting)
 	ld.ownReported = ld.own
 	ld.at = now
 }
 
 // failed notes a failure of an instance, weighed by how sure it is that the instance and not the request is the cause.
-func (l *loads) failed(id string, weight float64, now time.Time) {
+func (l *loads) failed(start core.Start, weight float64, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	ld := l.get(id)
+	ld := l.get(start)
 	ld.failures = ld.decayed(now) + weight
 	ld.failedAt = now
 }
 
 // worked notes a whole answer of an instance.
-func (l *loads) worked(id string, now time.Time) {
+func (l *loads) worked(start core.Start, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	ld := l.get(id)
+	ld := l.get(start)
 	if ld.failures > 0 {
 		ld.failures = ld.decayed(now) / 2
 		ld.failedAt = now
@@ -124,10 +126,10 @@
 }
 
 // estimate returns the load believed at an instance and the weight of its failures.
-func (l *loads) estimate(id string, now time.Time) (float64, float64) {
+func (l *loads) estimate(start core.Start, now time.Time) (float64, float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	ld, ok := l.by[id]
+	ld, ok := l.by[start]
 	if !ok {
 		return 0, 0
 	}
@@ -145,12 +147,12 @@
 }
 
 // forget drops what is known of instances that keep returns false for.
-func (l *loads) forget(keep func(id string) bool) {
+func (l *loads) forget(keep func(start core.Start) bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for id, ld := range l.by {
-		if ld.own == 0 && !keep(id) {
-			delete(l.by, id)
+	for start, ld := range l.by {
+		if ld.own == 0 && !keep(start) {
+			delete(l.by, start)
 		}
 	}
 }
--- a/gate/move.go
+++ b/gate/move.go
@@ -15,7 +15,7 @@
 // hasOther returns true when there is an instance that the request was not sent to.
 func (r *request) hasOther() bool {
 	for _, in := range r.g.view.Now().Usable(r.service.Name) {
-		if !r.tried[in.ID] {
+		if !r.tried[in.Start()] {
 			return true
 		}
 	}
--- a/gate/request.go
+++ b/gate/request.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"geraniumpass/core"
 	"geraniumpass/plan"
 	"geraniumpass/view"
 )
@@ -33,7 +34,7 @@
 
 	// sends counts upstreams that were sent at least a byte, tried names them.
 	sends int
-	tried map[string]bool
+	tried map[core.Start]bool
 	// paid is true while a repeat has been taken of the allowance and not been made.
 	paid bool
 	// doubt is true once a send may have run without an answer.
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"geraniumpass/core"
 	"geraniumpass/meter"
 	"geraniumpass/plan"
 )
@@ -37,7 +38,7 @@
 		ctx:   in.Context(),
 		snap:  g.view.Now(),
 		came:  g.clock.Now(),
-		tried: make(map[string]bool),
+		tried: make(map[core.Start]bool),
 	}
 	status := r.serve()
 	r.note(status)
--- a/group/agent.go
+++ b/group/agent.go
@@ -53,6 +53,8 @@
 	// ordering is held while the engine is read for an order and given it, so that one order is under way at a time.
 	ordering sync.Mutex
 	guard    shift.Guard
+	// born is the newest start of the engine that was seen, held under ordering.
+	born int64
 	// lossAt is when an order last got no answer.
 	lossAt time.Time
 
@@ -151,6 +153,9 @@
 	if err != nil {
 		return rep, err
 	}
+	if err := a.meet(rep); err != nil {
+		return rep, err
+	}
 	a.guard.Observe(rep.State)
 	step := a.guard.Unwanted(rep.State)
 	if step == shift.None {
@@ -164,6 +169,30 @@
 	return a.Engine.Report(ctx)
 }
 
+// meet forgets what belongs to an earlier start of the engine once a later one tells of itself, and fails with a *StartError for a late
+// word of an earlier one; the caller holds ordering.
+func (a *Agent) meet(rep Report) error {
+	if rep.Born == a.born {
+		return nil
+	}
+	if rep.Born < a.born {
+		return &StartError{
+			Known: a.born,
+			Got:   rep.Born,
+		}
+	}
+	if a.born != 0 {
+		a.Log.Warn("engine has started again", "born", rep.Born, "before", a.born, "epoch", rep.Epoch)
+	}
+	a.born = rep.Born
+	a.copying = shift.None
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.tally = place.Tally{}
+	a.known = false
+	return nil
+}
+
 func (a *Agent) do(ctx context.Context, o shift.Order, layout [][][]int) (bool, error) {
 	ordersGiven.Add(1)
 	done, err := a.Engine.Do(ctx, o, layout)
@@ -231,6 +260,7 @@
 
 func (a *Agent) frame(rep Report) *proto.GroupRank {
 	return &proto.GroupRank{
+		Born:      rep.Born,
 		Group:     rep.Group,
 		Epoch:     rep.Epoch,
 		Rank:      rep.Rank,
--- a/group/lead.go
+++ b/group/lead.go
@@ -215,6 +215,7 @@
 
 func stateOf(r *proto.GroupRank) shift.State {
 	return shift.State{
+		Born:      r.Born,
 		Epoch:     r.Epoch,
 		Open:      r.Open,
 		Step:      r.Step,
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -14,7 +14,7 @@
 	// Reused is true when the connection has carried a request before.
 	Reused bool
 
-	address string
+	target  Target
 	expires time.Time
 	pool    *Pool
 }
@@ -45,7 +45,7 @@
 // Discard closes the connection.
 func (c *Conn) Discard() {
 	_ = c.Close()
-	c.pool.closed(c.address)
+	c.pool.closed(c.target)
 }
 
 // Abort closes the connection with a reset, so that what it still carries is dropped: a request whose caller has left must not reach
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -46,8 +46,8 @@
 	dialer net.Dialer
 
 	mu   sync.Mutex
-	idle map[string][]*Conn
-	open map[string]int
+	idle map[Target][]*Conn
+	open map[Target]int
 }
 
 // New returns an empty pool.
@@ -63,15 +63,15 @@
 				Count:    keepAliveProbes,
 			},
 		},
-		idle: make(map[string][]*Conn),
-		open: make(map[string]int),
+		idle: make(map[Target][]*Conn),
+		open: make(map[Target]int),
 	}
 }
 
-// Get returns an idle connection or opens one; limit bounds the open connections to the address and a *FullError says that it is reached.
-func (p *Pool) Get(ctx context.Context, address string, limit int) (*Conn, error) {
+// Get returns an idle connection or opens one; limit bounds the open connections to the target and a *FullError says that it is reached.
+func (p *Pool) Get(ctx context.Context, t Target, limit int) (*Conn, error) {
 	for {
-		c := p.take(address)
+		c := p.take(t)
 		if c == nil {
 			break
 		}
@@ -80,41 +80,41 @@
 		}
 		c.Discard()
 	}
-	if !p.reserve(address, limit) {
+	if !p.reserve(t, limit) {
 		return nil, &FullError{
-			Address: address,
+			Address: t.Address,
 			Limit:   limit,
 		}
 	}
-	nc, err := p.dialer.DialContext(ctx, "tcp4", address)
+	nc, err := p.dialer.DialContext(ctx, "tcp4", t.Address)
 	if err != nil {
-		p.closed(address)
+		p.closed(t)
 		return nil, err
 	}
 	dialled.Add(1)
 	return &Conn{
-		Conn:    nc,
-		Reader:  bufio.NewReaderSize(nc, readBuffer),
-		address: address,
-		pool:    p,
+		Conn:   nc,
+		Reader: bufio.NewReaderSize(nc, readBuffer),
+		target: t,
+		pool:   p,
 	}, nil
 }
 
-// Idle returns how many connections to the address wait for a request.
-func (p *Pool) Idle(address string) int {
+// Idle returns how many connections to the target wait for a request.
+func (p *Pool) Idle(t Target) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.idle[address])
+	return len(p.idle[t])
 }
 
-// Forget closes the idle connections to addresses that keep returns false for.
-func (p *Pool) Forget(keep func(address string) bool) {
+// Forget closes the idle connections to targets that keep returns false for.
+func (p *Pool) Forget(keep func(t Target) bool) {
 	p.mu.Lock()
 	var drop []*Conn
-	for address, list := range p.idle {
-		if !keep(address) {
+	for t, list := range p.idle {
+		if !keep(t) {
 			drop = append(drop, list...)
-			delete(p.idle, address)
+			delete(p.idle, t)
 		}
 	}
 	p.mu.Unlock()
@@ -123,34 +123,34 @@
 	}
 }
 
-func (p *Pool) take(address string) *Conn {
+func (p *Pool) take(t Target) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[address]
+	list := p.idle[t]
 	if len(list) == 0 {
 		return nil
 	}
 	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
+	p.idle[t] = list[:len(list)-1]
 	return c
 }
 
-func (p *Pool) reserve(address string, limit int) bool {
+func (p *Pool) reserve(t Target, limit int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.open[address] >= limit {
+	if p.open[t] >= limit {
 		return false
 	}
-	p.open[address]++
+	p.open[t]++
 	return true
 }
 
-func (p *Pool) closed(address string) {
+func (p *Pool) closed(t Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.open[address]--
-	if p.open[address] <= 0 {
-		delete(p.open, address)
+	p.open[t]--
+	if p.open[t] <= 0 {
+		delete(p.open, t)
 	}
 }
 
@@ -166,5 +166,5 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.idle[c.address] = append(p.idle[c.address], c)
+	p.idle[c.target] = append(p.idle[c.target], c)
 }
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -35,7 +35,7 @@
 
 func get(t *testing.T, p *Pool, address string) *Conn {
 	t.Helper()
-	c, err := p.Get(context.Background(), address, 2)
+	c, err := p.Get(context.Background(), Target{Address: address}, 2)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -119,7 +119,7 @@
 	first := get(t, p, address)
 	get(t, p, address)
 	var full *FullError
-	if _, err := p.Get(context.Background(), address, 2); !errors.As(err, &full) {
+	if _, err := p.Get(context.Background(), Target{Address: address}, 2); !errors.As(err, &full) {
 		t.Fatalf("a third connection: %v, want a *FullError", err)
 	}
 	first.Discard()
--- a/proto/group.go
+++ b/proto/group.go
@@ -27,6 +27,8 @@
 	ListsMap int64   `cbor:"22,keyasint,omitempty"`
 	// Unknown answers an order whose map can't be put together here: it has to be sent whole.
 	Unknown bool `cbor:"24,keyasint,omitempty"`
+	// Born is when the rank's engine started, in Unix milliseconds.
+	Born int64 `cbor:"25,keyasint,omitempty"`
 }
 
 // GroupOrder is an order of a group's leader to the agent beside a rank.
--- a/shift/guard.go
+++ b/shift/guard.go
@@ -15,6 +15,8 @@
 	// Asked is the fence of the leader that has last asked for this rank's state; only that one may order anything.
 	Asked int64
 	Epoch int64
+	// Born is the start of the engine that the rest was seen of.
+	Born int64
 	// Floor is the highest step that this rank was ever told to hold or to let go in this epoch.
 	Floor int64
 	// Want is the step that the present switch holds here, None without one; Seen is false until the first state.
@@ -40,17 +42,23 @@
 	AnswerWait
 )
 
-// Observe takes a fresh state of the rank: a new epoch clears what was held, a first one after a start leaves a margin; a version of a
-// later leader than any seen makes that one the newest.
+// Observe takes a fresh state of the rank: a new epoch clears what was held, a first one after a start of this process or of the engine
+// leaves a margin, because orders to the engine's earlier start may name steps to come; a version of a later leader than any seen makes
+// that one the newest.
 func (g *Guard) Observe(s State) {
 	// An agent that was restarted knows from the engine's versions which leader was the last, and an older one that wakes is refused.
 	g.Fence = max(g.Fence, fenceOf(s))
-	if g.Seen && s.Epoch == g.Epoch {
+	if g.Seen && s.Epoch == g.Epoch && s.Born == g.Born {
 		return
 	}
+	again := g.Seen && s.Epoch == g.Epoch
 	g.Epoch = s.Epoch
+	g.Born = s.Born
 	g.Want = None
 	g.Floor = 0
+	if again {
+		g.Floor = s.Step + furthest
+	}
 	if !g.Seen {
 		// What is held at the start may protect a switch that is half armed: only a leader, who asks every rank, may end it.
 		g.Floor = s.Step + furthest
--- a/shift/guard_test.go
+++ b/shift/guard_test.go
@@ -29,3 +29,49 @@
 		})
 	}
 }
+
+// TestEngineThatStartsAgain has an engine start again within one epoch: what its earlier start held is gone, and a late order to that may
+// still name a step to come.
+func TestEngineThatStartsAgain(t *testing.T) {
+	s := State{Born: 100, Epoch: 1, Step: 1, Prepared: None, Armed: None, Held: None}
+	var g Guard
+	g.Judge(Order{Fence: 1, Op: OpAsk}, s)
+	s.Step = 20
+	ans, first := g.Judge(Order{Fence: 1, Op: OpHold, Epoch: 1}, s)
+	if ans != AnswerSend {
+		t.Fatalf("a hold was not sent: %d", ans)
+	}
+	s.Born = 200
+	g.Observe(s)
+	late := s
+	late.Held = first.Step
+	if g.Unwanted(late) != first.Step {
+		t.Error("a late hold of the earlier start counts as wanted")
+	}
+	s.Step += furthest
+	ans, second := g.Judge(Order{Fence: 1, Op: OpHold, Epoch: 1}, s)
+	if ans != AnswerSend || second.Step <= first.Step {
+		t.Errorf("answer %d, step %d after step %d was held at the earlier start", ans, second.Step, first.Step)
+	}
+}
+
+// TestLeaderMeetsAnotherStart has a rank's engine start again in the middle of a switch, and a late word of its earlier start come after.
+func TestLeaderMeetsAnotherStart(t *testing.T) {
+	s := State{Born: 100, Epoch: 1, Open: true, Prepared: None, Armed: None, Held: None}
+	l := NewLeader(1, 1)
+	l.Answered(0, Order{Fence: 1, Op: OpAsk}, true, s)
+	if _, ok := l.Begin(0); !ok {
+		t.Fatal("no switch begun")
+	}
+	again := s
+	again.Born = 200
+	l.Take(0, again)
+	if l.Phase != PhaseAsk {
+		t.Errorf("in phase %s after the engine started again, want to ask all", l.Phase)
+	}
+	l.Answered(0, Order{Fence: 1, Op: OpAsk}, true, again)
+	l.Take(0, s)
+	if l.Phase != PhaseIdle || l.Ranks[0].Born != 200 {
+		t.Errorf("a late word of the earlier start changed phase %s, born %d", l.Phase, l.Ranks[0].Born)
+	}
+}
--- a/shift/leader.go
+++ b/shift/leader.go
@@ -150,10 +150,15 @@
 	return false
 }
 
-// Take takes a state that a rank sent unasked; a new epoch makes the leader ask anew.
+// Take takes a state that a rank sent unasked; a new epoch or a new start of the rank's engine makes the leader ask anew. A late word of
+// an earlier start changes nothing.
 func (l *Leader) Take(r int, s State) {
+	old := l.Ranks[r]
+	if s.Epoch == old.Epoch && s.Born < old.Born {
+		return
+	}
 	l.Ranks[r] = s
-	if l.Phase != PhaseAsk && (s.Epoch != l.Epoch || !s.Open) {
+	if l.Phase != PhaseAsk && (s.Epoch != l.Epoch || s.Born != old.Born || !s.Open) {
 		l.again()
 	}
 }
@@ -161,6 +166,9 @@
 // Answered takes a rank's answer to an order of the present phase.
 func (l *Leader) Answered(r int, o Order, done bool, s State) {
 	current, needed := l.op(r)
+	if s.Epoch == l.Ranks[r].Epoch && s.Born < l.Ranks[r].Born {
+		return
+	}
 	l.Take(r, s)
 	if !needed || current != o.Op || o.Fence != l.Fence {
 		return
--- a/shift/state.go
+++ b/shift/state.go
@@ -5,6 +5,8 @@
 
 // State is what a rank reports.
 type State struct {
+	// Born is when the rank's engine started, in Unix milliseconds, zero when it doesn't say.
+	Born  int64
 	Epoch int64
 	// Open is false while the group is not whole.
 	Open bool
--- a/view/change.go
+++ b/view/change.go
@@ -14,6 +14,8 @@
 	Table *plan.Table
 	Put   []core.Instance
 	Gone  []string
+	// Void are the ids of entries that are there and name no instance to use.
+	Void []string
 	// Members are entries of this system by name, with the address of their links; MembersGone have ended.
 	Members     map[string]string
 	MembersGone []string
--- a/view/keeper.go
+++ b/view/keeper.go
@@ -99,14 +99,19 @@
 		k.log.Warn("many instances vanished at once, kept for a while", "instances", len(gone), "revision", c.Rev)
 	}
 	for _, in := range c.Put {
-		k.book.Put(in)
+		if !k.book.Put(in) {
+			k.log.Info("entry of an earlier start ignored", "instance", in.ID, "born", in.Born, "revision", c.Rev)
+		}
+	}
+	for _, id := range c.Void {
+		k.book.Drop(id)
 	}
 	for _, id := range gone {
 		k.book.Remove(id, now)
 		k.log.Info("entry vanished", "instance", id, "kept", k.book.Kept(id), "revision", c.Rev)
 	}
 	k.takeMembers(c)
-	if moved || c.Full || len(c.Put)+len(gone) > 0 {
+	if moved || c.Full || len(c.Put)+len(gone)+len(c.Void) > 0 {
 		k.publish()
 	}
 }
