Send nothing to an instance at whose address another has started

Entries still listed the ids of before the fault beside the new ones: their entries lapse 3.6 s after the fault and are kept 1.5 s longer since many vanished at once. Ended instances look idle and are picked first; the repeat that would mend it is not allowed right after a start. Changed: an address belongs to the row written last; the others there are taken only if there is none else. An instance whose address has answered for another (421) is treated the same. Ruled out: the allowance after a start (it keeps BUDGET); the doubt over instances that vanish together (kept for outages of the store).

--- a/core/instance.go
+++ b/core/instance.go
@@ -24,6 +24,8 @@
 	Slots int `json:"slots,omitempty"`
 	// Born is when its process started, in Unix milliseconds by its own clock, zero when it doesn't say.
 	Born int64 `json:"born,omitempty"`
+	// Rev is the revision of the instance list at which this row was written.
+	Rev int64 `json:"rev,omitempty"`
 }
 
 // Start identifies one start of an instance: a process that starts again under the same id knows nothing of what came before.
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -234,6 +234,9 @@
 	body, err := readWhole(resp.Body)
 	if a.reply.NotRun {
 		a.r.reason = "refused_" + strconv.Itoa(resp.StatusCode)
+		if resp.StatusCode == http.StatusMisdirectedRequest {
+			a.r.g.loads.misplaced(a.in.Start())
+		}
 		a.finished = err == nil && a.reusable(resp)
 		return a.gone(verdictNotRun), 0
 	}
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -155,7 +155,8 @@
 			Near:    near[in.ID],
 			Penalty: failures * failurePenalty,
 			Open:    r.g.pool.Idle(targetOf(in)) > 0,
-			Barred:  failures > barAfter || alive && r.g.loads.silent(in.Start(), now) > silentAfter,
+			Barred: failures > barAfter || alive && r.g.loads.silent(in.Start(), now) > silentAfter ||
+				snap.Superseded(in) || r.g.loads.isMisplaced(in.Start()),
 		}
 	}
 	i := route.Least(seen, r.g.opts.Domain, r.g.picks)
--- a/gate/loads.go
+++ b/gate/loads.go
@@ -37,6 +37,8 @@
 	// failures decays with failureHalfLife since failedAt.
 	failures float64
 	failedAt time.Time
+	// misplaced is true once another instance has answered at its address.
+	misplaced bool
 	// waiting is when each request was sent that the instance has not begun to answer, the oldest first.
 	waiting []time.Time
 }
@@ -146,6 +148,21 @@
 	return ld.failures * math.Exp2(-now.Sub(ld.failedAt).Seconds()/failureHalfLife.Seconds())
 }
 
+// misplaced notes that another instance answers at the address of this one.
+func (l *loads) misplaced(start core.Start) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.get(start).misplaced = true
+}
+
+// isMisplaced returns whether another instance has answered at its address.
+func (l *loads) isMisplaced(start core.Start) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ld, ok := l.by[start]
+	return ok && ld.misplaced
+}
+
 // forget drops what is known of instances that keep returns false for.
 func (l *loads) forget(keep func(start core.Start) bool) {
 	l.mu.Lock()
