Let requests for engines wait in a line at the entry, sent as they can begin

Cause: under three times the traffic an entry sent whatever came. After the surge it took eight seconds until streams were on time again. Changed: package admit. An entry has a window of requests that were sent and have not begun. It shrinks, once for a crowd, when an engine says that it is full with others waiting or a beginning takes over 0.6 of the aim, and grows with other beginnings while it is used. The others wait: first what can be on time, by when it must begin, then who has returned (told from the time that callers have left). What can't be sent in time is refused as it comes, or, while more come than begin, as soon as it can't be on time. A dark service gets 100 requests a second of all entries together; nobody waits for it.

--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -9,6 +9,7 @@
 	"geraniumpass/check"
 	"geraniumpass/core"
 	"geraniumpass/pool"
+	"geraniumpass/retry"
 	"geraniumpass/route"
 )
 
@@ -21,14 +22,6 @@
 	fewestConnections = 3
 	// usualConnections bounds the connections to an instance whose service names no bound.
 	usualConnections = 64
-	// leastReturn is the soonest that a refused caller is told to return.
-	leastReturn = 50 * time.Millisecond
-	// darkReturnPart is the part of its time after which a caller returns to a service that can't serve: callers heed up to a third.
-	darkReturnPart = 0.33
-	// darkReturnMost bounds it; the outages of groups that the users see last some five seconds.
-	darkReturnMost = 4 * time.Second
-	// spreadParts says how far returns are spread: over a sixth of the wait.
-	spreadParts = 6
 	// failureWeight, lostWeight and refusedWeight say how much an instance's failed answer, a lost one and a refusal speak against it.
 	failureWeight = 0.3
 	lostWeight    = 1.0
@@ -65,16 +58,25 @@
 		if r.due().Sub(r.g.clock.Now()) < leastLeft {
 			break
 		}
+		if r.queues() && !r.enter() {
+			if r.crowded {
+				r.reason = "crowded"
+			}
+			break
+		}
 		in, ok := r.pick()
 		if !ok {
+			r.beginning(false, false, false)
 			break
 		}
 		if r.sends > 0 && !r.payRepeat() {
 			r.g.loads.end(in.Start())
+			r.beginning(false, false, false)
 			r.reason = "no_repeat_left"
 			break
 		}
 		v, status := r.attempt(in)
+		r.beginning(false, v == verdictNotRun || v == verdictLost, false)
 		switch v {
 		case verdictDone:
 			return status
@@ -118,16 +120,14 @@
 	return r.refuse(r.reason, r.comeBack())
 }
 
-// comeBack is when a refused caller should return: to a busy service after about half of its target, to one that can't serve at all
-// as late as callers heed. Both are spread, so that callers don't return as one.
+// comeBack is when a refused caller should return.
 func (r *request) comeBack() time.Duration {
 	now := r.g.clock.Now()
-	base := max(r.route.Aim/2, leastReturn)
-	if r.g.pulse.dark(r.service.Name, now) {
-		base = max(base, min(time.Duration(darkReturnPart*float64(r.until.Sub(now))), darkReturnMost))
-		return base - time.Duration(r.g.draw(int(base/spreadParts)+1))
-	}
-	return base + time.Duration(r.g.draw(int(base)))
+	return retry.Back(retry.Refusal{
+		Aim:  r.route.Aim,
+		Left: r.until.Sub(now),
+		Dark: r.g.pulse.dark(r.service.Name, now),
+	}, r.g.draw)
 }
 
 // pick returns the instance for the next attempt, which counts as sent there from now on, so that requests that come together don't all
--- a/gate/request.go
+++ b/gate/request.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"geraniumpass/admit"
 	"geraniumpass/core"
 	"geraniumpass/plan"
 	"geraniumpass/view"
@@ -25,6 +26,8 @@
 	service *plan.Service
 
 	came time.Time
+	// age is how long before that the caller first asked, as its remaining time tells.
+	age time.Duration
 	// begun is when the first byte of an upstream's answer came, zero before.
 	begun time.Time
 	// until is when the final answer is due.
@@ -37,6 +40,11 @@
 	tried map[core.Start]bool
 	// paid is true while a repeat has been taken of the allowance and not been made.
 	paid bool
+	// ticket is the place in the service's line while an upstream has the request, crowded true once the line has refused it.
+	ticket  *admit.Ticket
+	crowded bool
+	// lined is how long the request has waited in lines.
+	lined time.Duration
 	// doubt is true once a send may have run without an answer.
 	doubt bool
 	// failure is an upstream's whole answer that a repeat may still better.
@@ -53,6 +61,9 @@
 	begun bool
 	// last is the last event passed on, negative before the first.
 	last int64
+	// at is when events were last passed on, pause the longest time between two of them.
+	at    time.Time
+	pause time.Duration
 	// unnumbered is true once an event without a number has been passed on, after which no other run knows where to go on.
 	unnumbered bool
 }
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"time"
 )
 
 const (
@@ -46,6 +47,7 @@
 			}
 			// What was due for the first event is for the whole stream from here on.
 			_ = a.conn.SetDeadline(r.due())
+			r.stream.passed(r.g.clock.Now())
 			r.stream.last = last
 			r.stream.unnumbered = r.stream.unnumbered || !numbered
 			pending = append(pending[:0], pending[end:]...)
@@ -61,6 +63,14 @@
 	}
 }
 
+// passed notes that events have been passed on.
+func (d *delivered) passed(now time.Time) {
+	if !d.at.IsZero() {
+		d.pause = max(d.pause, now.Sub(d.at))
+	}
+	d.at = now
+}
+
 // cutReason tells a stream that was left from one that broke off.
 func cutReason(err error) string {
 	var silent *SilentError
