--- a/admit/line.go
+++ b/admit/line.go
@@ -40,8 +40,6 @@
 type Line struct {
 	// ProbeEvery is how often a dark service is sent a request.
 	ProbeEvery time.Duration
-	// Share is this entry's part of the requests that all instances of the service run at once.
-	Share float64
 
 	waiting []*Ticket
 	sent    []*Ticket
@@ -91,10 +89,6 @@
 	}
 	l.over(t)
 	l.begins.add(now)
-	if l.Dark(now) {
-		// What ran before has been cut off, so that all places are free.
-		l.window = max(l.window, l.Share)
-	}
 	took := now.Sub(t.sent)
 	l.delay += time.Duration(delayGain * float64(took-l.delay))
 	switch crowded := full || took > time.Duration(crowdedPart*float64(t.Aim)); {
--- a/cmd/policy/main.go
+++ b/cmd/policy/main.go
@@ -27,6 +27,7 @@
 	if !*mapsOnly {
 		targets(f)
 	}
+	groups(f, *out)
 	maps(f, *out)
 	must(f.Close())
 	b, err := os.ReadFile(f.Name())
--- a/gate/enter.go
+++ b/gate/enter.go
@@ -46,11 +46,7 @@
 
 // line runs fn on the line of the request's service.
 func (r *request) line(fn func(*admit.Line, time.Time)) {
-	slots := 0
-	for _, in := range r.snap.Usable(r.service.Name) {
-		slots += in.Slots
-	}
-	r.g.lines.do(r.service.Name, entries(r.snap), slots, fn)
+	r.g.lines.do(r.service.Name, entries(r.snap), fn)
 }
 
 // beginning notes that the request has begun, or has failed to.
--- a/gate/lines.go
+++ b/gate/lines.go
@@ -36,9 +36,8 @@
 	}
 }
 
-// do runs fn on a service's line and sees to it that it is looked over while requests wait; entries is how many share the service, slots what
-// it runs at once.
-func (l *lines) do(service string, entries, slots int, fn func(*admit.Line, time.Time)) {
+// do runs fn on a service's line and sees to it that it is looked over while requests wait; entries is how many share the service.
+func (l *lines) do(service string, entries int, fn func(*admit.Line, time.Time)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	line := l.by[service]
@@ -46,7 +45,6 @@
 		line = admit.NewLine(0)
 		l.by[service] = line
 	}
-	line.Share = float64(slots) / float64(entries)
 	line.ProbeEvery = min(probeMost, time.Second*time.Duration(entries)/probesPerSecond)
 	now := l.clock.Now()
 	fn(line, now)
