--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -80,7 +80,7 @@
 		return a.unanswered(err), 0
 	}
 	if !a.reply.NotRun {
-		r.beginning(true, false, a.reply.full())
+		r.hasBegun(a.reply.full())
 	}
 	if a.reply.Slots > 0 {
 		a.r.g.loads.report(a.in.Start(), a.reply.Running, a.reply.Waiting, a.r.g.clock.Now())
--- a/gate/enter.go
+++ b/gate/enter.go
@@ -49,20 +49,20 @@
 	r.g.lines.do(r.service.Name, entries(r.snap), fn)
 }
 
-// beginning notes that the request has begun, or has failed to.
-func (r *request) beginning(begun, refused, full bool) {
-	t := r.ticket
-	if t == nil {
-		return
+// hasBegun tells the line that an upstream has begun the request; full is true when that one says that it runs all it can.
+func (r *request) hasBegun(full bool) {
+	if t := r.ticket; t != nil {
+		r.ticket = nil
+		r.line(func(l *admit.Line, now time.Time) { l.Begun(now, t, full) })
+	}
+}
+
+// notBegun tells the line that the request ended without a beginning, if it did; refused is true when an upstream is the cause.
+func (r *request) notBegun(refused bool) {
+	if t := r.ticket; t != nil {
+		r.ticket = nil
+		r.line(func(l *admit.Line, now time.Time) { l.Failed(now, t, refused) })
 	}
-	r.ticket = nil
-	r.line(func(l *admit.Line, now time.Time) {
-		if begun {
-			l.Begun(now, t, full)
-		} else {
-			l.Failed(now, t, refused)
-		}
-	})
 }
 
 // queues returns true for a request that waits in line: streams that have begun go on at once.
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -66,17 +66,17 @@
 		}
 		in, ok := r.pick()
 		if !ok {
-			r.beginning(false, false, false)
+			r.notBegun(false)
 			break
 		}
 		if r.sends > 0 && !r.payRepeat() {
 			r.g.loads.end(in.Start())
-			r.beginning(false, false, false)
+			r.notBegun(false)
 			r.reason = "no_repeat_left"
 			break
 		}
 		v, status := r.attempt(in)
-		r.beginning(false, v == verdictNotRun || v == verdictLost, false)
+		r.notBegun(v == verdictNotRun || v == verdictLost)
 		switch v {
 		case verdictDone:
 			return status
--- a/trial/doc.go
+++ b/trial/doc.go
@@ -1,2 +1,3 @@
-// Package trial drives the routing, queueing and placement decisions with small fakes and a fake clock, to measure them against baselines.
+// Package trial drives the decisions that ship (routing, queueing, the line before engines, returns, placement) with small fakes and a fake
+// clock, to measure them against baselines.
 package trial
