--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -79,9 +79,6 @@
 	if resp, err = a.read(); err != nil {
 		return a.unanswered(err), 0
 	}
-	if !a.reply.NotRun {
-		r.hasBegun(a.reply.full())
-	}
 	if a.reply.Slots > 0 {
 		a.r.g.loads.report(a.in.Start(), a.reply.Running, a.reply.Waiting, a.r.g.clock.Now())
 	}
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -58,25 +58,16 @@
 		if r.due().Sub(r.g.clock.Now()) < leastLeft {
 			break
 		}
-		if r.queues() && !r.enter() {
-			if r.crowded {
-				r.reason = "crowded"
-			}
-			break
-		}
 		in, ok := r.pick()
 		if !ok {
-			r.notBegun(false)
 			break
 		}
 		if r.sends > 0 && !r.payRepeat() {
 			r.g.loads.end(in.Start())
-			r.notBegun(false)
 			r.reason = "no_repeat_left"
 			break
 		}
 		v, status := r.attempt(in)
-		r.notBegun(v == verdictNotRun || v == verdictLost)
 		switch v {
 		case verdictDone:
 			return status
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -38,8 +38,6 @@
 	pool    *pool.Pool
 	loads   *loads
 	pulse   *pulse
-	lines   *lines
-	budgets *budgets
 	repeats *retry.Window
 	meter   *meter.Meter
 
@@ -68,8 +66,6 @@
 		pool:      pool.New(clock),
 		loads:     newLoads(),
 		pulse:     newPulse(),
-		lines:     newLines(clock),
-		budgets:   &budgets{by: make(map[string]time.Duration)},
 		repeats:   retry.NewWindow(opts.Allowance, opts.Started),
 		meter:     m,
 		neighbors: neighbors{name: opts.Name},
--- a/gate/reply.go
+++ b/gate/reply.go
@@ -17,8 +17,3 @@
 	// Idle is how long the upstream keeps the connection open, zero when it doesn't say.
 	Idle time.Duration
 }
-
-// full returns true when the upstream says that it runs all that it can and others wait.
-func (r *Reply) full() bool {
-	return r.Slots > 0 && r.Running >= r.Slots && r.Waiting > 0
-}
--- a/gate/request.go
+++ b/gate/request.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"geraniumpass/admit"
 	"geraniumpass/core"
 	"geraniumpass/plan"
 	"geraniumpass/view"
@@ -26,8 +25,6 @@
 	service *plan.Service
 
 	came time.Time
-	// age is how long before that the caller first asked, as its remaining time tells.
-	age time.Duration
 	// begun is when the first byte of an upstream's answer came, zero before.
 	begun time.Time
 	// until is when the final answer is due.
@@ -40,11 +37,6 @@
 	tried map[core.Start]bool
 	// paid is true while a repeat has been taken of the allowance and not been made.
 	paid bool
-	// ticket is the place in the service's line while an upstream has the request, crowded true once the line has refused it.
-	ticket  *admit.Ticket
-	crowded bool
-	// lined is how long the request has waited in lines.
-	lined time.Duration
 	// doubt is true once a send may have run without an answer.
 	doubt bool
 	// failure is an upstream's whole answer that a repeat may still better.
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -118,7 +118,6 @@
 		limit = min(limit, r.call.Budget-callerMargin)
 	}
 	r.until = r.came.Add(limit)
-	r.age = r.g.budgets.age(r.route.Name, r.call.Budget)
 	r.service = r.pickService()
 	if r.service == nil {
 		return r.refuse("no_service", noTableAfter)
@@ -209,7 +208,7 @@
 		version = r.snap.Table.Version
 	}
 	r.g.log.Info("request", "id", r.call.ID, "route", name, "status", status, "reason", r.reason, "instance", r.instance,
-		"sends", r.sends, "ms", took.Milliseconds(), "begun_ms", r.begunAfter(), "age_ms", r.age.Milliseconds(), "lined_ms", r.lined.Milliseconds(), "event", r.stream.last, "pause_ms", r.stream.pause.Milliseconds(), "table", version, "rev", r.snap.Rev)
+		"sends", r.sends, "ms", took.Milliseconds(), "begun_ms", r.begunAfter(), "event", r.stream.last, "pause_ms", r.stream.pause.Milliseconds(), "table", version, "rev", r.snap.Rev)
 }
 
 // begunAfter is the time in ms from the request to the first byte of an upstream's answer, -1 when none came: a request that an upstream
--- a/group/lead.go
+++ b/group/lead.go
@@ -24,10 +24,8 @@
 	foreignTime = 5 * time.Second
 	// demandHalfLife weighs late counts against early ones while popularity stands still, which it does for two to four seconds.
 	demandHalfLife = time.Second
-	// leastSaving is the share of a step's expert part below which a switch is not begun: while one is under way, no other answers a turn of
-	// popularity, copies slow the steps, and a hold that takes long once makes every stream pause. With 0.12 in place of 0.06 a calm day of
-	// 72 ranks has 42 switches in place of 74, and 0.98 and 0.97 of the worth of its callers in place of 0.92 and 0.89 (two seeds).
-	leastSaving = 0.12
+	// leastSaving is the share of a step's expert part below which a switch is not begun: while one is under way, no other answers a turn of popularity.
+	leastSaving = 0.06
 	// copyTime is how long the loads of one rank for one switch may take together, if more than one fits: one step.
 	copyTime = 100 * time.Millisecond
 	// planEvery is how often a better map is looked for while none is under way: about once a step; a look takes some ms of a small processor.
