--- a/admit/line.go
+++ b/admit/line.go
@@ -35,8 +35,9 @@
 )
 
 // Line holds the requests of one entry for one service; it is not safe for use by several goroutines. Under three times the traffic engines'
-// own queues make everything late: with a line 0.53 of the callers' worth is served on such a day in place of 0.41 (four seeds), and two
-// seconds after the surge streams are on time again, in place of eight.
+// own queues make everything late: before 16 ranks and nine entries 0.52 of the callers' worth is served with a line in place of 0.41 (four
+// seeds each). Before 72 ranks and 42 entries, of which each learns its window from few beginnings, it cost 0.05 and more, so that no
+// gateway uses it.
 type Line struct {
 	// ProbeEvery is how often a dark service is sent a request.
 	ProbeEvery time.Duration
--- a/group/agent.go
+++ b/group/agent.go
@@ -169,30 +169,6 @@
 	return a.Engine.Report(ctx)
 }
 
-// meet forgets what belongs to an earlier start of the engine once a later one tells of itself, and fails with a *StartError for a late
-// word of an earlier one; the caller holds ordering.
-func (a *Agent) meet(rep Report) error {
-	if rep.Born == a.born {
-		return nil
-	}
-	if rep.Born < a.born {
-		return &StartError{
-			Known: a.born,
-			Got:   rep.Born,
-		}
-	}
-	if a.born != 0 {
-		a.Log.Warn("engine has started again", "born", rep.Born, "before", a.born, "epoch", rep.Epoch)
-	}
-	a.born = rep.Born
-	a.copying = shift.None
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.tally = place.Tally{}
-	a.known = false
-	return nil
-}
-
 func (a *Agent) do(ctx context.Context, o shift.Order, layout [][][]int) (bool, error) {
 	ordersGiven.Add(1)
 	done, err := a.Engine.Do(ctx, o, layout)
