--- a/fleet/book_test.go
+++ b/fleet/book_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -177,3 +178,20 @@
 		})
 	}
 }
+
+// TestStartsAreForgotten has more instances come and go than starts are kept.
+func TestStartsAreForgotten(t *testing.T) {
+	b := NewBook()
+	b.Put(core.Instance{ID: "stays", Born: 5})
+	for i := range 2 * bornKept {
+		id := strconv.Itoa(i)
+		b.Put(core.Instance{ID: id, Born: 5})
+		b.Drop(id)
+	}
+	if n := len(b.born); n > bornKept+1 {
+		t.Errorf("%d starts are kept, want at most %d", n, bornKept+1)
+	}
+	if b.Put(core.Instance{ID: "stays", Born: 4}) {
+		t.Error("the start of a listed instance was forgotten")
+	}
+}
--- a/shift/guard_test.go
+++ b/shift/guard_test.go
@@ -48,6 +48,9 @@
 	if g.Unwanted(late) != first.Step {
 		t.Error("a late hold of the earlier start counts as wanted")
 	}
+	if ans, early := g.Judge(Order{Fence: 1, Op: OpHold, Epoch: 1}, s); ans == AnswerSend && early.Step <= s.Step+furthest {
+		t.Errorf("step %d is held while a late order to the earlier start may name it", early.Step)
+	}
 	s.Step += furthest
 	ans, second := g.Judge(Order{Fence: 1, Op: OpHold, Epoch: 1}, s)
 	if ans != AnswerSend || second.Step <= first.Step {
@@ -69,6 +72,10 @@
 	if l.Phase != PhaseAsk {
 		t.Errorf("in phase %s after the engine started again, want to ask all", l.Phase)
 	}
+	l.Answered(0, Order{Fence: 1, Op: OpAsk}, true, s)
+	if l.Phase != PhaseAsk {
+		t.Errorf("in phase %s after an answer of the earlier start, want to ask on", l.Phase)
+	}
 	l.Answered(0, Order{Fence: 1, Op: OpAsk}, true, again)
 	l.Take(0, s)
 	if l.Phase != PhaseIdle || l.Ranks[0].Born != 200 {
