Let no row of another writer take an instance out, and leave no silent upstream for one that has ended

Cause: reading the whole change once more. A row of a service that nobody names, or a whole row of another writer at the address of an instance that serves, made that one count as ended: entries of other writers must leave the others as they are. And a silent upstream was left for an instance that has ended, which nobody answers for; a repeat was paid for it.

--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -147,7 +147,7 @@
 			Penalty: failures * failurePenalty,
 			Open:    r.g.pool.Idle(targetOf(in)) > 0,
 			Barred: failures > barAfter || alive && r.g.loads.silent(in.Start(), now) > silentAfter ||
-				snap.Superseded(in) || r.g.loads.isMisplaced(in.Start()),
+				r.g.ended(snap, in),
 		}
 	}
 	i := route.Least(seen, r.g.opts.Domain, r.g.picks)
--- a/gate/move.go
+++ b/gate/move.go
@@ -12,10 +12,11 @@
 	return r.paid
 }
 
-// hasOther returns true when there is an instance that the request was not sent to.
+// hasOther returns true when there is an instance that the request was not sent to and that has not ended.
 func (r *request) hasOther() bool {
-	for _, in := range r.g.view.Now().Usable(r.service.Name) {
-		if !r.tried[in.Start()] {
+	snap := r.g.view.Now()
+	for _, in := range snap.Usable(r.service.Name) {
+		if !r.tried[in.Start()] && !r.g.ended(snap, in) {
 			return true
 		}
 	}
--- a/view/snapshot.go
+++ b/view/snapshot.go
@@ -17,7 +17,7 @@
 
 	byService map[string][]core.Instance
 	byID      map[string]core.Instance
-	// newest is the latest row of each address.
+	// newest is the latest row of each address, of services that the table names.
 	newest map[string]core.Instance
 }
 
@@ -27,7 +27,7 @@
 	s.newest = make(map[string]core.Instance, len(s.Instances))
 	for _, in := range s.Instances {
 		s.byID[in.ID] = in
-		if other, ok := s.newest[in.Address]; !ok || in.Rev > other.Rev {
+		if other, ok := s.newest[in.Address]; s.named(in.Service) && (!ok || in.Rev > other.Rev) {
 			s.newest[in.Address] = in
 		}
 		if !in.Leaving {
@@ -37,16 +37,22 @@
 	return s
 }
 
+// named returns true for a service of the routing table; an entry of another one says nothing of who listens at its address.
+func (s *Snapshot) named(service string) bool {
+	return s.Table == nil || s.Table.Service(service) != nil
+}
+
 // Usable returns the instances of a service that take new requests.
 func (s *Snapshot) Usable(service string) []core.Instance {
 	return s.byService[service]
 }
 
-// Superseded returns true for an instance at whose address another one has started since: it has ended, whether its entry is still there
+// Successor returns the instance that has started at the address of another one since: that one has ended, whether its entry is still there
 // or is kept for a while after it vanished. Ended instances look idle, so that after a fault of all machines most requests of two seconds
 // went to them and were refused.
-func (s *Snapshot) Superseded(in core.Instance) bool {
-	return s.newest[in.Address].Rev > in.Rev
+func (s *Snapshot) Successor(in core.Instance) (core.Instance, bool) {
+	next, ok := s.newest[in.Address]
+	return next, ok && next.Rev > in.Rev
 }
 
 // Instance returns an instance by its id.
