Pack two counts into a byte for the leader of a group

Cause: 64 ranks that each tell 3,072 counts, a byte each, fill two thirds of the leader's link of 6 Mbit/s, and all of it for 0.26 s at a turn of popularity, which every rank tells at once: the answers to holds and arms wait behind them, and the group stands meanwhile. Ruled out: the hold's place alone as the cause.

--- a/group/agent.go
+++ b/group/agent.go
@@ -69,6 +69,9 @@
 	tally  place.Tally
 	toldAt time.Time
 	urgent bool
+	// packer is that of rank packed.
+	packer *place.Packer
+	packed int
 	// leader is the link of the newest leader, with its fence; heard is when it last spoke.
 	leader *wire.Link
 	fence  int64
@@ -224,7 +227,7 @@
 		a.tally.Take()
 	}
 	if l != nil && (a.urgent || now.Sub(a.toldAt) >= time.Duration(a.counts)*timePerCount) {
-		f.Chosen, f.Unit = a.tally.Take()
+		a.pack(f)
 		a.toldAt = now
 		a.urgent = false
 	}
@@ -234,6 +237,16 @@
 	}
 }
 
+// pack puts what was counted since the last time into a frame; the caller holds mu.
+func (a *Agent) pack(f *proto.GroupRank) {
+	chosen, unit := a.tally.Take()
+	if a.packer == nil || a.packed != f.Rank {
+		a.packer, a.packed = place.NewPacker(f.Rank), f.Rank
+	}
+	f.Chosen, f.Unit = a.packer.Pack(chosen, unit)
+	f.Experts = len(chosen)
+}
+
 func (a *Agent) frame(rep Report) *proto.GroupRank {
 	return &proto.GroupRank{
 		Born:      rep.Born,
--- a/group/lead.go
+++ b/group/lead.go
@@ -187,8 +187,8 @@
 		d.prepared[r], d.has[r], d.told[r] = shift.None, shift.None, shift.None
 	}
 	d.known[r] = true
-	if len(rank.Chosen) > 0 {
-		d.demand.Observe(d.m.Clock.Now(), rank.Chosen, rank.Unit)
+	if chosen := place.Unpack(rank.Chosen, rank.Experts); chosen != nil {
+		d.demand.Observe(d.m.Clock.Now(), chosen, rank.Unit)
 	}
 	if rank.Lists != nil {
 		d.lists[r], d.listsMap[r] = rank.Lists, rank.ListsMap
