Spread the waits after a change over the members, so that calls to the store grow slower than the entries

Cause: each change wakes every entry's watch, and each asks anew 150 ms later: while 192 instances begin one after the other, 99 entries make 660 calls a second. Hypothesis: as with the length of watches, the first to ask anew tell the others over links. Calls in calm (watches that end) still grow with the entries: open.

--- a/view/follow.go
+++ b/view/follow.go
@@ -16,7 +16,12 @@
 	watchLeast = 700 * time.Millisecond
 	watchMost  = 4 * time.Second
 	// gather is how long after a change the next one is waited for elsewhere than at the store: changes that come together cost one call.
-	gather = 150 * time.Millisecond
+	// Among many members most wait longer, by gatherEach a member and gatherMost at most: the first to ask anew tell the others. While 192
+	// instances begin one after the other, 99 entries make some 200 calls a second so, and 660 if all wait alike; what has to be known in two
+	// seconds still is where no other entry can be heard.
+	gather     = 150 * time.Millisecond
+	gatherEach = 10 * time.Millisecond
+	gatherMost = time.Second
 	// retryFirst and retryLongest bound the wait between two calls to a store that fails.
 	retryFirst   = 100 * time.Millisecond
 	retryLongest = time.Second
@@ -40,7 +45,7 @@
 			k.tickWhileWaiting()
 			wait.Reset()
 			full = false
-			pause(ctx, gather)
+			pause(ctx, k.gatherTime())
 			continue
 		}
 		var compacted *store.CompactedError
@@ -76,11 +81,22 @@
 	return c, err
 }
 
-// watchTime is how long the store holds the next watch: this entry's place among the members, moved on by the revision, says where in the span.
+// watchTime is how long the store holds the next watch.
 func (k *Keeper) watchTime() time.Duration {
+	return watchLeast + k.part(watchMost-watchLeast)
+}
+
+// gatherTime is how long after a change the next watch begins.
+func (k *Keeper) gatherTime() time.Duration {
+	members := time.Duration(len(k.Now().Members))
+	return gather + k.part(min(members*gatherEach, gatherMost))
+}
+
+// part returns this entry's part of a span: its place among the members, moved on by the revision, says how much.
+func (k *Keeper) part(span time.Duration) time.Duration {
 	s := k.Now()
 	at, of := place(s, k.name)
-	return watchLeast + time.Duration((int64(at)+s.Rev)%int64(of))*(watchMost-watchLeast)/time.Duration(of)
+	return time.Duration((int64(at)+s.Rev)%int64(of)) * span / time.Duration(of)
 }
 
 // place returns how many members stand before a name, and how many there are; one that is not among them yet has a place of its own.
--- a/view/view_test.go
+++ b/view/view_test.go
@@ -170,6 +170,47 @@
 	}
 }
 
+// TestManyEntriesGatherChanges stands for instances that begin one after the other, several a second: each change wakes every watch. What the
+// entries ask of the store then has to grow slower than their number, the first must ask anew as soon as a lone entry would, and none may
+// wait longer than half of the two seconds within which what leaves has to be known everywhere.
+func TestManyEntriesGatherChanges(t *testing.T) {
+	tests := []struct {
+		entries int
+		// calls is the most that they may make in a second of changes.
+		calls float64
+	}{
+		{1, 7},
+		{9, 60},
+		{42, 150},
+		{99, 220},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.entries), func(t *testing.T) {
+			members := make(map[string]string, tt.entries)
+			for i := range tt.entries {
+				members[fmt.Sprintf("front-%03d", i)] = "address"
+			}
+			soonest, longest, calls := time.Hour, time.Duration(0), 0.0
+			for name := range members {
+				k := NewKeeper(name, clockwork.NewFakeClock(), hclog.NewNullLogger())
+				k.Apply(Change{Rev: 7, Full: true, Members: members})
+				w := k.gatherTime()
+				soonest, longest = min(soonest, w), max(longest, w)
+				calls += 1 / w.Seconds()
+			}
+			if soonest != gather {
+				t.Errorf("the first asks anew after %s, want %s", soonest, gather)
+			}
+			if longest > gather+time.Second {
+				t.Errorf("the last asks anew after %s", longest)
+			}
+			if calls > tt.calls {
+				t.Errorf("%.0f calls a second, may be %.0f", calls, tt.calls)
+			}
+		})
+	}
+}
+
 // TestPeersNewsOvertakesADeadWatch needs no answer of the store to go on from a peer's revision.
 func TestPeersNewsOvertakesADeadWatch(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
