Learn how far ahead of the group a hold has to lie

Cause: a hold stood on the next step, while arming all ranks and letting go takes 35 to 75 ms: every switch stopped the group by a part of that. Where steps take nearly as long as a stream may pause, every running stream is late by it. Changed: the leader learns the time of a step and, over the newest 16 switches, the longest time from the order to hold to the end of the hold; the hold lies that many steps ahead, six at most. The guard bounds it, and its margin after a restart follows from the same bound.

--- a/group/lead.go
+++ b/group/lead.go
@@ -85,6 +85,9 @@
 	has      []int64
 	copies   int
 	demand   place.Demand
+	// margin learns how far ahead holds have to lie; heldFrom is when the hold of the present switch was ordered, zero before.
+	margin   shift.Margin
+	heldFrom time.Time
 	entered  time.Time
 	phase    shift.Phase
 	// asked is when all ranks were last to be asked, askFrom when that may begin.
--- a/group/orders.go
+++ b/group/orders.go
@@ -16,6 +16,7 @@
 		Epoch:   o.Epoch,
 		Version: o.Version,
 		Step:    o.Step,
+		Ahead:   o.Ahead,
 	}
 	a.mu.Lock()
 	if o.Group != a.report.Group {
--- a/group/phases.go
+++ b/group/phases.go
@@ -16,6 +16,9 @@
 // advance starts and gives up switches, and sends what the leader's phase asks for.
 func (d *leading) advance() {
 	now := d.m.Clock.Now()
+	if own, known := d.m.Agent.Report(); known {
+		d.margin.Stepped(now, own.Step)
+	}
 	d.noteChange(now)
 	if d.leader.Phase == shift.PhaseIdle {
 		d.begin()
@@ -38,10 +41,10 @@
 	d.phase = d.leader.Phase
 	d.entered = now
 	switch {
+	case d.phase == shift.PhaseHold:
+		d.heldFrom = now
 	case d.phase == shift.PhaseIdle && from == shift.PhaseGo:
-		switches.Add(1)
-		mapCopies.Add(int64(d.copies))
-		d.m.Log.Info("map switched", "group", d.group, "version", d.leader.Version, "step", d.leader.Step, "copies", d.copies)
+		d.switched(now)
 		d.sets, d.inUse = d.next, d.leader.Version
 		if d.next == nil {
 			// It was an earlier leader's switch, whose map only the ranks know.
@@ -53,6 +56,7 @@
 		d.askFrom = d.asked.Add(askEvery)
 		d.asked = now
 		d.next, d.inUse = nil, shift.None
+		d.heldFrom = time.Time{}
 		d.m.Log.Info("asking all ranks", "group", d.group, "from", from.String())
 	case d.phase == shift.PhaseIdle, d.phase == shift.PhaseRelease:
 		if from == shift.PhasePrepare || from == shift.PhaseHold {
@@ -63,6 +67,19 @@
 	}
 }
 
+// switched counts a switch that is through and learns from how long its hold was needed.
+func (d *leading) switched(now time.Time) {
+	switches.Add(1)
+	mapCopies.Add(int64(d.copies))
+	held := time.Duration(0)
+	if !d.heldFrom.IsZero() {
+		held = now.Sub(d.heldFrom)
+		d.margin.Switched(held)
+	}
+	d.heldFrom = time.Time{}
+	d.m.Log.Info("map switched", "group", d.group, "version", d.leader.Version, "step", d.leader.Step, "copies", d.copies, "held", held.String())
+}
+
 // expire gives up a switch that takes too long and has armed nothing yet.
 func (d *leading) expire(now time.Time) {
 	waited := now.Sub(d.entered)
--- a/group/planning.go
+++ b/group/planning.go
@@ -30,11 +30,12 @@
 		return
 	}
 	own, _ := d.m.Agent.Report()
-	version, ok := d.leader.Begin(own.Rank)
+	ahead := d.margin.Ahead()
+	version, ok := d.leader.Begin(own.Rank, ahead)
 	if !ok {
 		return
 	}
-	d.m.Log.Info("changing the map", "group", d.group, "version", version, "copies", copies, "peak", peak/mean, "to", after/mean)
+	d.m.Log.Info("changing the map", "group", d.group, "version", version, "copies", copies, "peak", peak/mean, "to", after/mean, "ahead", ahead)
 	d.next, d.copies = next, copies
 	d.layout = layoutOf(next)
 	d.change = changeBetween(layoutOf(d.sets), d.layout)
--- a/group/send.go
+++ b/group/send.go
@@ -49,6 +49,7 @@
 		Epoch:   o.Epoch,
 		Version: o.Version,
 		Step:    o.Step,
+		Ahead:   o.Ahead,
 	}
 	if o.Op == shift.OpPrepare {
 		d.addMap(r, f)
--- a/proto/group.go
+++ b/proto/group.go
@@ -41,6 +41,8 @@
 	Epoch   int64 `cbor:"4,keyasint"`
 	Version int64 `cbor:"5,keyasint,omitempty"`
 	Step    int64 `cbor:"6,keyasint,omitempty"`
+	// Ahead is how many steps ahead a hold has to lie.
+	Ahead int64 `cbor:"13,keyasint,omitempty"`
 	// Map lists the experts by set and rank; an order to prepare has it, or Base and Change, or, once more over the same link, neither.
 	Map [][][]int `cbor:"7,keyasint,omitempty"`
 	// Base is the version of a map that the rank has had, Change what differs from it. Nine and ten were another form of them: a process
--- a/shift/explore_test.go
+++ b/shift/explore_test.go
@@ -33,6 +33,7 @@
 	Epoch   int64
 	Version int64
 	Step    int64
+	Ahead   int64
 	Holder  int
 	Ranks   [ranks]State
 	Done    [ranks]bool
@@ -59,6 +60,8 @@
 	restarts int
 	breaks   int64
 	states   int
+	// most is the farthest that a hold may lie ahead; with a small one a few steps are enough to come to every case.
+	most     int64
 	mutation string
 }
 
@@ -180,6 +183,7 @@
 		Epoch:   l.Epoch,
 		Version: l.Version,
 		Step:    l.Step,
+		Ahead:   l.Ahead,
 		Holder:  l.Holder,
 		Ranks:   append([]State(nil), l.Ranks[:]...),
 		Done:    append([]bool(nil), l.Done[:]...),
@@ -189,7 +193,7 @@
 
 func (l *lead) set(from *Leader) {
 	l.Phase, l.Epoch, l.Version, l.Step = from.Phase, from.Epoch, from.Version, from.Step
-	l.Holder, l.Next = from.Holder, from.Next
+	l.Ahead, l.Holder, l.Next = from.Ahead, from.Holder, from.Next
 	copy(l.Ranks[:], from.Ranks)
 	copy(l.Done[:], from.Done)
 }
@@ -199,7 +203,7 @@
 	start := world{Epoch: 1}
 	for r := range start.Engines {
 		start.Engines[r] = engine{Prepared: None, Armed: None, ArmedStep: None, Held: None}
-		start.Guards[r] = Guard{Epoch: 1, Want: None, Seen: true}
+		start.Guards[r] = Guard{Epoch: 1, Want: None, Seen: true, Most: x.b.most}
 	}
 	first := lead{Alive: true}
 	first.set(NewLeader(1, ranks))
@@ -263,7 +267,7 @@
 		if w.Restarts < x.b.restarts {
 			n := w
 			n.Restarts++
-			n.Guards[r] = Guard{}
+			n.Guards[r] = Guard{Most: x.b.most}
 			x.push(n)
 		}
 		x.clean(w, r)
@@ -282,6 +286,9 @@
 	if x.b.mutation == "blind_after_restart" && !w.Guards[r].Seen {
 		g.Want = None
 	}
+	if x.b.mutation == "no_margin_after_restart" && !w.Guards[r].Seen {
+		g.Floor = w.Step
+	}
 	held := g.Unwanted(w.state(r))
 	w.Guards[r] = g
 	x.push(w)
@@ -299,16 +306,7 @@
 func (x *explorer) lead(w world, i int) {
 	l := w.Leads[i].leader(int64(i + 1))
 	if l.Phase == PhaseIdle && w.Leads[i].Begun < x.b.switches {
-		for holder := range ranks {
-			n, c := w, l.Clone()
-			if v, ok := c.Begin(holder); ok {
-				// Two leaders that give one version to two maps split the group without any rank noticing.
-				x.bad = x.bad || v/versionsPerFence != int64(i+1)
-				n.Leads[i].set(c)
-				n.Leads[i].Begun++
-				x.push(n)
-			}
-		}
+		x.begin(w, i, l)
 	}
 	for r := range ranks {
 		n, c := w, l.Clone()
@@ -350,6 +348,22 @@
 	}
 }
 
+// begin starts a switch with the hold at each rank, as near and as far ahead as it may lie.
+func (x *explorer) begin(w world, i int, l *Leader) {
+	for holder := range ranks {
+		for _, ahead := range []int64{Ahead, w.Guards[holder].most()} {
+			n, c := w, l.Clone()
+			if v, ok := c.Begin(holder, ahead); ok {
+				// Two leaders that give one version to two maps split the group without any rank noticing.
+				x.bad = x.bad || v/versionsPerFence != int64(i+1)
+				n.Leads[i].set(c)
+				n.Leads[i].Begun++
+				x.push(n)
+			}
+		}
+	}
+}
+
 // order plays one order of a leader to a rank: answered, carried out without an answer, lost on the way to be carried out late.
 func (x *explorer) order(w world, i int, l *Leader, r int, o Order) {
 	g := w.Guards[r]
@@ -358,6 +372,11 @@
 		g.Fence = 0
 	case "reuse_step":
 		g.Floor = 0
+	case "no_margin_after_restart":
+		if !g.Seen {
+			g.Observe(w.state(r))
+			g.Floor = w.Step
+		}
 	}
 	answer, send := g.Judge(o, w.state(r))
 	if x.b.mutation == "answer_before_clean" && answer == AnswerWait && o.Op == OpAsk {
@@ -410,14 +429,18 @@
 		name string
 		b    bounds
 	}{
-		{"one leader, late orders", bounds{steps: 6, late: 2, leaders: 1, switches: 2}},
-		{"two leaders, one late order", bounds{steps: 4, late: 1, leaders: 2, switches: 1}},
-		{"two leaders, late orders", bounds{steps: 5, late: 2, leaders: 2, switches: 1}},
-		{"one leader, a restart", bounds{steps: 9, late: 1, leaders: 1, switches: 2, restarts: 1}},
-		{"one leader, the group forms anew", bounds{steps: 5, late: 2, leaders: 1, switches: 2, breaks: 1}},
-		{"two leaders, a restart, the group forms anew", bounds{steps: 8, late: 1, leaders: 2, switches: 1, restarts: 1, breaks: 1}},
-		{"two leaders, a restart", bounds{steps: 9, late: 2, leaders: 2, switches: 1, restarts: 1}},
-		{"two leaders of two switches, a restart", bounds{steps: 9, late: 0, leaders: 2, switches: 2, restarts: 1}},
+		{"one leader, late orders", bounds{most: 3, steps: 6, late: 2, leaders: 1, switches: 2}},
+		{"two leaders, one late order", bounds{most: 3, steps: 4, late: 1, leaders: 2, switches: 1}},
+		{"two leaders, late orders", bounds{most: 3, steps: 5, late: 2, leaders: 2, switches: 1}},
+		{"one leader, a restart", bounds{most: 3, steps: 9, late: 1, leaders: 1, switches: 2, restarts: 1}},
+		{"one leader, the group forms anew", bounds{most: 3, steps: 5, late: 2, leaders: 1, switches: 2, breaks: 1}},
+		{"two leaders, a restart, the group forms anew", bounds{most: 3, steps: 8, late: 1, leaders: 2, switches: 1, restarts: 1, breaks: 1}},
+		{"two leaders, a restart", bounds{most: 3, steps: 9, late: 2, leaders: 2, switches: 1, restarts: 1}},
+		{"two leaders of two switches, a restart", bounds{most: 3, steps: 9, late: 0, leaders: 2, switches: 2, restarts: 1}},
+		{"one leader, a restart, holds up to two ahead", bounds{most: 2, steps: 7, late: 1, leaders: 1, switches: 2, restarts: 1}},
+		{"two leaders, a restart, holds up to two ahead", bounds{most: 2, steps: 7, late: 1, leaders: 2, switches: 1, restarts: 1}},
+		{"one leader, late orders, holds as far as they ship", bounds{most: AheadMost, steps: 10, late: 2, leaders: 1, switches: 2}},
+		{"one leader, a restart, holds as far as they ship", bounds{most: AheadMost, steps: 16, late: 1, leaders: 1, switches: 2, restarts: 1}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -440,13 +463,14 @@
 		mutation string
 		b        bounds
 	}{
-		{"no_guard", bounds{steps: 5, late: 1, leaders: 2, switches: 1}},
-		{"back_after_arm", bounds{steps: 6, late: 1, leaders: 1, switches: 2}},
-		{"arm_before_hold", bounds{steps: 6, late: 1, leaders: 1, switches: 1}},
-		{"go_before_all_armed", bounds{steps: 6, late: 1, leaders: 1, switches: 1}},
-		{"reuse_step", bounds{steps: 3, late: 1, leaders: 1, switches: 2}},
-		{"answer_before_clean", bounds{steps: 5, late: 2, leaders: 2, switches: 1}},
-		{"blind_after_restart", bounds{steps: 9, late: 1, leaders: 1, switches: 1, restarts: 1}},
+		{"no_guard", bounds{most: 3, steps: 5, late: 1, leaders: 2, switches: 1}},
+		{"back_after_arm", bounds{most: 3, steps: 6, late: 1, leaders: 1, switches: 2}},
+		{"arm_before_hold", bounds{most: 3, steps: 6, late: 1, leaders: 1, switches: 1}},
+		{"go_before_all_armed", bounds{most: 3, steps: 6, late: 1, leaders: 1, switches: 1}},
+		{"reuse_step", bounds{most: 3, steps: 3, late: 1, leaders: 1, switches: 2}},
+		{"answer_before_clean", bounds{most: 3, steps: 5, late: 2, leaders: 2, switches: 1}},
+		{"no_margin_after_restart", bounds{most: 2, steps: 7, late: 1, leaders: 1, switches: 2, restarts: 1}},
+		{"blind_after_restart", bounds{most: 3, steps: 9, late: 1, leaders: 1, switches: 1, restarts: 1}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.mutation, func(t *testing.T) {
--- a/shift/guard.go
+++ b/shift/guard.go
@@ -5,8 +5,8 @@
 	Ahead = 1
 	// AheadLossy is Ahead while orders get lost, so that all ranks are armed before the group comes to the step that is held.
 	AheadLossy = 3
-	// furthest is how many steps after the last one begun a hold may lie, so that a restarted agent knows which steps old orders may name.
-	furthest = AheadLossy + 1
+	// AheadMost is the most that a leader may ask for: half a second of steps of 80 ms, longer than ranks that answer at all take to be armed.
+	AheadMost = 6
 )
 
 // Guard is the part of an agent that decides which orders reach its engine; its zero value has seen nothing.
@@ -22,8 +22,24 @@
 	// Want is the step that the present switch holds here, None without one; Seen is false until the first state.
 	Want int64
 	Seen bool
-	// Lossy makes holds lie AheadLossy steps ahead.
+	// Lossy makes holds lie AheadLossy steps ahead at least.
 	Lossy bool
+	// Most is the farthest that a hold may lie ahead, AheadMost where it is zero; all guards of a group have the same.
+	Most int64
+}
+
+// most returns the farthest that a leader may have a hold lie ahead.
+func (g *Guard) most() int64 {
+	if g.Most == 0 {
+		return AheadMost
+	}
+	return g.Most
+}
+
+// furthest is how many steps after the last one begun a hold may lie, so that a restarted agent knows which steps old orders may name: one
+// more than asked for, since a hold that was let go leaves its step behind.
+func (g *Guard) furthest() int64 {
+	return g.most() + 1
 }
 
 // Answer is what a guard makes of an order.
@@ -57,11 +73,11 @@
 	g.Want = None
 	g.Floor = 0
 	if again {
-		g.Floor = s.Step + furthest
+		g.Floor = s.Step + g.furthest()
 	}
 	if !g.Seen {
 		// What is held at the start may protect a switch that is half armed: only a leader, who asks every rank, may end it.
-		g.Floor = s.Step + furthest
+		g.Floor = s.Step + g.furthest()
 		g.Want = s.Held
 	}
 	g.Seen = true
@@ -127,12 +143,8 @@
 	}
 	// A step whose hold was sent and not seen yet may still be taken while it is to come; a new one is chosen after that.
 	if g.Want == None || g.Want <= s.Step {
-		ahead := int64(Ahead)
-		if g.Lossy {
-			ahead = AheadLossy
-		}
-		next := max(s.Step+ahead, g.Floor+1)
-		if next > s.Step+furthest {
+		next := max(s.Step+g.ahead(o), g.Floor+1)
+		if next > s.Step+g.furthest() {
 			return AnswerWait, o
 		}
 		g.Want = next
@@ -142,6 +154,15 @@
 	return AnswerSend, o
 }
 
+// ahead returns how many steps ahead the hold of an order has to lie.
+func (g *Guard) ahead(o Order) int64 {
+	least := int64(Ahead)
+	if g.Lossy {
+		least = AheadLossy
+	}
+	return min(max(least, o.Ahead), g.most())
+}
+
 func (g *Guard) arm(o Order, s State) (Answer, Order) {
 	switch {
 	case s.Armed == o.Version && s.ArmedStep == o.Step, s.Map == o.Version:
--- a/shift/guard_test.go
+++ b/shift/guard_test.go
@@ -48,10 +48,10 @@
 	if g.Unwanted(late) != first.Step {
 		t.Error("a late hold of the earlier start counts as wanted")
 	}
-	if ans, early := g.Judge(Order{Fence: 1, Op: OpHold, Epoch: 1}, s); ans == AnswerSend && early.Step <= s.Step+furthest {
+	if ans, early := g.Judge(Order{Fence: 1, Op: OpHold, Epoch: 1}, s); ans == AnswerSend && early.Step <= s.Step+g.furthest() {
 		t.Errorf("step %d is held while a late order to the earlier start may name it", early.Step)
 	}
-	s.Step += furthest
+	s.Step += g.furthest()
 	ans, second := g.Judge(Order{Fence: 1, Op: OpHold, Epoch: 1}, s)
 	if ans != AnswerSend || second.Step <= first.Step {
 		t.Errorf("answer %d, step %d after step %d was held at the earlier start", ans, second.Step, first.Step)
@@ -63,7 +63,7 @@
 	s := State{Born: 100, Epoch: 1, Open: true, Prepared: None, Armed: None, Held: None}
 	l := NewLeader(1, 1)
 	l.Answered(0, Order{Fence: 1, Op: OpAsk}, true, s)
-	if _, ok := l.Begin(0); !ok {
+	if _, ok := l.Begin(0, Ahead); !ok {
 		t.Fatal("no switch begun")
 	}
 	again := s
--- a/shift/leader.go
+++ b/shift/leader.go
@@ -27,6 +27,8 @@
 	// Version and Step are those of the present switch.
 	Version int64
 	Step    int64
+	// Ahead is how many steps ahead the hold of the present switch has to lie.
+	Ahead int64
 	// Holder is the rank that holds the step.
 	Holder int
 	// Ranks is what is known of each rank; Done marks those that have confirmed the present phase.
@@ -87,6 +89,9 @@
 			Version: l.Version,
 			Step:    l.Step,
 		}
+		if op == OpHold {
+			out[r].Ahead = l.Ahead
+		}
 	}
 	return out
 }
@@ -117,8 +122,9 @@
 	return 0, false
 }
 
-// Begin starts a switch of all ranks, with the hold at one of them, and returns its version; ok is false while another is under way.
-func (l *Leader) Begin(holder int) (version int64, ok bool) {
+// Begin starts a switch of all ranks, with the hold at one of them and so many steps ahead, and returns its version; ok is false while
+// another is under way.
+func (l *Leader) Begin(holder int, ahead int64) (version int64, ok bool) {
 	if l.Phase != PhaseIdle || l.Outdone() {
 		return 0, false
 	}
@@ -132,6 +138,7 @@
 	}
 	l.Version = l.Next
 	l.Holder = holder
+	l.Ahead = ahead
 	l.enter(PhasePrepare)
 	return l.Version, true
 }
--- a/shift/order.go
+++ b/shift/order.go
@@ -7,4 +7,6 @@
 	Epoch   int64
 	Version int64
 	Step    int64
+	// Ahead is how many steps ahead a hold has to lie, so that all ranks are armed before the group comes to it.
+	Ahead int64
 }
