--- a/group/lead.go
+++ b/group/lead.go
@@ -190,7 +190,7 @@
 		d.prepared[r], d.has[r], d.told[r] = shift.None, shift.None, shift.None
 	}
 	d.known[r] = true
-	if chosen := place.Unpack(rank.Chosen, rank.Experts); chosen != nil {
+	if chosen := chosenOf(rank); len(chosen) > 0 {
 		d.demand.Observe(d.m.Clock.Now(), chosen, rank.Unit)
 	}
 	if rank.Lists != nil {
@@ -218,6 +218,14 @@
 	return false
 }
 
+// chosenOf returns a rank's counts, nil where it told none.
+func chosenOf(r *proto.GroupRank) []byte {
+	if r.Experts == 0 {
+		return r.Chosen
+	}
+	return place.Unpack(r.Chosen, r.Experts)
+}
+
 func stateOf(r *proto.GroupRank) shift.State {
 	return shift.State{
 		Born:      r.Born,
--- a/proto/group.go
+++ b/proto/group.go
@@ -19,7 +19,8 @@
 	ArmedStep int64 `cbor:"13,keyasint"`
 	// Held is the step that the rank doesn't begin, negative for none.
 	Held int64 `cbor:"14,keyasint"`
-	// Chosen is how often each of Experts was chosen since the last time, set after set, in units of Unit and packed as place.Packer does.
+	// Chosen is how often each expert was chosen since the last time, set after set, in units of Unit: a byte each, or, where Experts is their
+	// number, packed as place.Packer does.
 	Chosen  []byte  `cbor:"26,keyasint,omitempty"`
 	Experts int     `cbor:"27,keyasint,omitempty"`
 	Unit    float64 `cbor:"23,keyasint,omitempty"`
