--- a/group/agent.go
+++ b/group/agent.go
@@ -26,9 +26,6 @@
 	orderPoll = 10 * time.Millisecond
 	// timePerCount keeps what one rank counts within 8 KB a second: a leader's link of 8 Mbit/s takes that of many ranks.
 	timePerCount = 125 * time.Microsecond
-	// wholeCounts is up to how many bytes all ranks of a group together tell their counts exactly, 64 ms of a leader's link of 8 Mbit/s. Beyond it
-	// they are packed, which costs precision: with 12 ranks it made twice as many switches, and saw the same balance.
-	wholeCounts = 64_000
 	// lossyTime is how long an order without an answer makes one expect more of them.
 	lossyTime = 5 * time.Second
 	// slowPace is how many times its usual time an engine takes for a step from which it counts as slow: what batches and long prompts cost
@@ -240,20 +237,6 @@
 	}
 }
 
-// pack puts what was counted since the last time into a frame; the caller holds mu.
-func (a *Agent) pack(f *proto.GroupRank) {
-	chosen, unit := a.tally.Take()
-	if f.Size*len(chosen) <= wholeCounts {
-		f.Chosen, f.Unit = chosen, unit
-		return
-	}
-	if a.packer == nil || a.packed != f.Rank {
-		a.packer, a.packed = place.NewPacker(f.Rank), f.Rank
-	}
-	f.Chosen, f.Unit = a.packer.Pack(chosen, unit)
-	f.Experts = len(chosen)
-}
-
 func (a *Agent) frame(rep Report) *proto.GroupRank {
 	return &proto.GroupRank{
 		Born:      rep.Born,
--- a/group/lead.go
+++ b/group/lead.go
@@ -218,14 +218,6 @@
 	return false
 }
 
-// chosenOf returns a rank's counts, nil where it told none.
-func chosenOf(r *proto.GroupRank) []byte {
-	if r.Experts == 0 {
-		return r.Chosen
-	}
-	return place.Unpack(r.Chosen, r.Experts)
-}
-
 func stateOf(r *proto.GroupRank) shift.State {
 	return shift.State{
 		Born:      r.Born,
--- a/proto/group.go
+++ b/proto/group.go
@@ -46,8 +46,8 @@
 	Ahead int64 `cbor:"13,keyasint,omitempty"`
 	// Map lists the experts by set and rank; an order to prepare has it, or Base and Change, or, once more over the same link, neither.
 	Map [][][]int `cbor:"7,keyasint,omitempty"`
-	// Base is the version of a map that the rank has had, Change what differs from it. Nine and ten were another form of them: a process
-	// that only knows that one must not take the base for the new map.
+	// Base is the version of a map that the rank has had, Change what differs from it. Nine and ten stay free: a process that knows a map's rows
+	// by them must not take the base alone for the new map.
 	Base   int64  `cbor:"11,keyasint,omitempty"`
 	Change []byte `cbor:"12,keyasint,omitempty"`
 	// Group is the group that the leader leads; agents of others only tell it so.
