--- a/shift/guard_test.go
+++ b/shift/guard_test.go
@@ -82,3 +82,42 @@
 		t.Errorf("a late word of the earlier start changed phase %s, born %d", l.Phase, l.Ranks[0].Born)
 	}
 }
+
+// TestHoldLiesAsFarAheadAsAsked has a leader ask for holds at several distances, within what a restarted agent can reckon with.
+func TestHoldLiesAsFarAheadAsAsked(t *testing.T) {
+	tests := []struct {
+		name  string
+		asked int64
+		lossy bool
+		want  int64
+	}{
+		{"a leader that asks for none", 0, false, Ahead},
+		{"the next step", 1, false, 1},
+		{"four steps", 4, false, 4},
+		{"as far as may be", AheadMost, false, AheadMost},
+		{"farther", AheadMost + 5, false, AheadMost},
+		{"near while orders get lost here", 1, true, AheadLossy},
+		{"far while orders get lost here", 5, true, 5},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := State{Epoch: 1, Open: true, Step: 20, Prepared: None, Armed: None, Held: None}
+			l := NewLeader(1, 1)
+			l.Answered(0, Order{Fence: 1, Op: OpAsk}, true, s)
+			if _, ok := l.Begin(0, tt.asked); !ok {
+				t.Fatal("no switch begun")
+			}
+			prepare := l.Orders()[0]
+			s.Prepared = l.Version
+			l.Answered(0, prepare, true, s)
+			g := Guard{Lossy: tt.lossy}
+			// The margin after a start is long behind.
+			g.Observe(State{Epoch: 1, Open: true, Prepared: None, Armed: None, Held: None})
+			g.Judge(Order{Fence: 1, Op: OpAsk}, s)
+			ans, send := g.Judge(l.Orders()[0], s)
+			if ans != AnswerSend || send.Op != OpHold || send.Step != s.Step+tt.want {
+				t.Errorf("answer %d, %s of step %d, want a hold %d ahead of %d", ans, send.Op, send.Step, tt.want, s.Step)
+			}
+		})
+	}
+}
