Log which request was cut by its instance, and whether the instance ended

Attempts of one request have new ids, so that no line of a log related two of them, and a request without an answer did not tell whether its server had ended or only its connection. Requests that are cut together ask once. Nothing is decided by it yet.

--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -38,6 +38,8 @@
 	reply Reply
 	// finished is true once the connection has been kept or discarded.
 	finished bool
+	// cut is true once the instance has ended the connection before the end of its answer.
+	cut bool
 }
 
 // run sends the request and handles what comes back.
@@ -158,6 +160,7 @@
 // unanswered notes why an attempt got no answer.
 func (a *attempt) unanswered(err error) verdict {
 	a.r.reason = "no_answer"
+	a.cut = isCut(err)
 	a.r.g.log.Debug("no answer", "id", a.r.call.ID, "instance", a.in.ID, "reused", a.conn.Reused, "error", err)
 	return a.gone(verdictLost)
 }
@@ -242,6 +245,7 @@
 	}
 	if err != nil {
 		a.r.reason = "answer_cut"
+		a.cut = isCut(err)
 		a.r.g.log.Debug("no whole answer", "id", a.r.call.ID, "instance", a.in.ID, "status", resp.StatusCode, "error", err)
 		return a.gone(verdictLost), 0
 	}
--- /dev/null
+++ b/gate/ends.go
@@ -0,0 +1,124 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"geraniumpass/core"
+	"geraniumpass/crash"
+)
+
+const (
+	// probeTime bounds the question whether an instance has ended: a refusal comes within two delays between failure domains, and a caller
+	// whose request may go on elsewhere waits for it.
+	probeTime = 100 * time.Millisecond
+	// probeFresh is how long an answer to it holds for other requests, which a group of ranks loses at the same moment.
+	probeFresh = 500 * time.Millisecond
+)
+
+// probes remembers the questions whether starts of instances have ended, so that requests cut at the same moment ask once.
+type probes struct {
+	mu sync.Mutex
+	by map[core.Start]*probe
+}
+
+type probe struct {
+	asked time.Time
+	// done is closed once ended is known.
+	done  chan struct{}
+	ended bool
+}
+
+func newProbes() *probes {
+	return &probes{by: make(map[core.Start]*probe)}
+}
+
+// find returns the probe of a start, and true when the caller has to make it.
+func (p *probes) find(start core.Start, now time.Time) (*probe, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if old, ok := p.by[start]; ok && now.Sub(old.asked) < probeFresh {
+		return old, false
+	}
+	made := &probe{
+		asked: now,
+		done:  make(chan struct{}),
+	}
+	p.by[start] = made
+	return made, true
+}
+
+// forget drops probes that are older than their answers hold.
+func (p *probes) forget(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for start, old := range p.by {
+		if now.Sub(old.asked) >= probeFresh {
+			delete(p.by, start)
+		}
+	}
+}
+
+// hasEnded returns true when the process of an instance's start is found to have ended.
+func (g *Gate) hasEnded(in core.Instance) bool {
+	p, mine := g.probes.find(in.Start(), g.clock.Now())
+	if !mine {
+		<-p.done
+		return p.ended
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
+	defer cancel()
+	p.ended = g.pool.Refuses(ctx, targetOf(in))
+	close(p.done)
+	return p.ended
+}
+
+// isCut returns true for an error that tells of the connection's end at the other side, not of silence or of our own doing.
+func isCut(err error) bool {
+	var timeout net.Error
+	var silent *SilentError
+	switch {
+	case err == nil, errors.As(err, &silent), errors.Is(err, net.ErrClosed), errors.Is(err, context.Canceled):
+		return false
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return false
+	}
+	var stray *StrayError
+	var long *LongError
+	return !errors.As(err, &stray) && !errors.As(err, &long)
+}
+
+// noteCut looks whether the instance ended with the connection that it cut, and counts that against the request: callers send the same one
+// again, and one that ends each instance that begins it takes their groups down for as long as it comes. An instance that was leaving ends
+// as planned, and the connections at the other ranks of a broken group are cut while their instances live.
+func (r *request) noteCut(in core.Instance) {
+	row, listed := r.g.view.Now().Instance(in.ID)
+	if !listed || row.Leaving {
+		return
+	}
+	ended := row.Start() != in.Start() || r.g.hasEnded(in)
+	r.g.log.Info("cut by its instance", "id", r.call.ID, "digest", r.fingerprint().String(), "account", r.account,
+		"instance", in.ID, "born", in.Born, "ended", ended)
+}
+
+// fingerprint returns the digest by which the request is known when it comes again.
+func (r *request) fingerprint() crash.Digest {
+	if !r.hashed {
+		caller := r.account
+		if caller == "" {
+			caller = r.call.Key
+		}
+		r.digest = r.g.hasher.Digest(crash.Request{
+			Method:  r.in.Method,
+			Host:    r.in.Host,
+			URI:     r.in.RequestURI,
+			Account: caller,
+			Body:    r.body,
+		})
+		r.hashed = true
+	}
+	return r.digest
+}
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -182,6 +182,9 @@
 		conn: conn,
 	}
 	v, status := a.run()
+	if v == verdictLost && a.cut {
+		r.noteCut(in)
+	}
 	now := r.g.clock.Now()
 	switch v {
 	case verdictDone:
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"geraniumpass/core"
+	"geraniumpass/crash"
 	"geraniumpass/meter"
 	"geraniumpass/pool"
 	"geraniumpass/retry"
@@ -26,6 +27,8 @@
 	Allowance retry.Allowance
 	// Started is when this entry began; an earlier life of it may have spent its part of the allowance's slack before.
 	Started time.Time
+	// Key is what requests are hashed with to be known again, the same at all entries.
+	Key []byte
 }
 
 // Gate answers callers; it is safe for use by several goroutines.
@@ -38,6 +41,8 @@
 	pool    *pool.Pool
 	loads   *loads
 	pulse   *pulse
+	probes  *probes
+	hasher  *crash.Hasher
 	repeats *retry.Window
 	meter   *meter.Meter
 
@@ -66,6 +71,8 @@
 		pool:      pool.New(clock),
 		loads:     newLoads(),
 		pulse:     newPulse(),
+		probes:    newProbes(),
+		hasher:    crash.NewHasher(opts.Key),
 		repeats:   retry.NewWindow(opts.Allowance, opts.Started),
 		meter:     m,
 		neighbors: neighbors{name: opts.Name},
@@ -92,6 +99,7 @@
 		targets[targetOf(in)] = true
 	}
 	g.pool.Forget(func(t pool.Target) bool { return targets[t] })
+	g.probes.forget(g.clock.Now())
 	g.loads.forget(func(start core.Start) bool {
 		in, ok := s.Instance(start.ID)
 		return ok && in.Start() == start
--- a/gate/request.go
+++ b/gate/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"geraniumpass/core"
+	"geraniumpass/crash"
 	"geraniumpass/plan"
 	"geraniumpass/view"
 )
@@ -43,6 +44,9 @@
 	failure *answer
 	// stream is what has been passed on of a stream.
 	stream delivered
+	// digest is what the request is known by when it comes again, once hashed.
+	digest crash.Digest
+	hashed bool
 	// instance is the last one sent to, and refused the last one's reason.
 	instance string
 	reason   string
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -29,6 +29,7 @@
 	for {
 		if err := a.awaitMore(resp); err != nil {
 			r.reason = cutReason(err)
+			a.cut = isCut(err)
 			return a.gone(verdictLost), 0
 		}
 		n, err := resp.Body.Read(chunk)
@@ -57,6 +58,7 @@
 		}
 		if !errors.Is(err, io.EOF) {
 			r.reason = "stream_cut"
+			a.cut = isCut(err)
 			return a.gone(verdictLost), 0
 		}
 		return a.endStream(resp, pending, resumed)
@@ -116,6 +118,7 @@
 	if (!framed || resumed) && len(rest) > 0 {
 		// An answer without a length that ends within an event was cut, and what another run sends beside events doesn't belong to it.
 		r.reason = "stream_cut"
+		a.cut = true
 		return a.gone(verdictLost), 0
 	}
 	if !r.deliver(resp, rest) {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"expvar"
 	"fmt"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -23,6 +24,8 @@
 	readBuffer = 4 << 10
 	// idleMargin is given up of the time for which an instance keeps a connection, so that a request doesn't cross its end.
 	idleMargin = 700 * time.Millisecond
+	// unbounded is the limit of connections that are opened whatever their number.
+	unbounded = math.MaxInt
 	// idleMost is how long a connection is kept whose instance names no time.
 	idleMost = 60 * time.Second
 )
@@ -92,12 +95,16 @@
 		return nil, err
 	}
 	dialled.Add(1)
+	return p.newConn(nc, t), nil
+}
+
+func (p *Pool) newConn(nc net.Conn, t Target) *Conn {
 	return &Conn{
 		Conn:   nc,
 		Reader: bufio.NewReaderSize(nc, readBuffer),
 		target: t,
 		pool:   p,
-	}, nil
+	}
 }
 
 // Idle returns how many connections to the target wait for a request.
--- a/start/gateway.go
+++ b/start/gateway.go
@@ -107,6 +107,7 @@
 				Window: cfg.Repeat.Window.Duration,
 			},
 			Started: clock.Now(),
+			Key:     []byte(cfg.LinkKey),
 		}, clock, log.Named("gate"), keeper, platform.Dialect{}, counts),
 		own: wire.Identity{
 			ID:          cfg.ID,
