Refuse a request that ends the instances that run it, at all entries

Cause: nothing knew a request by what it is. Attempts of it have new ids, what was tried was kept by attempt and failures by instance, so that it began at nothing each time, at each entry, after each restart. Ruled out: the repeats of one attempt (two ends that were logged closely came with one send each) and the repeat allowance (it was spent then).

Now the ends of instances are counted against a digest of the request. An end counts when the instance cut the request and nobody listens at its port any more; one that was leaving does not count, nor the cuts at the live ranks of a broken group. Two ends are enough, as the requests of two instances have as a rule only the one in common that ended them; an end among many at once weighs half. A request that ran whole, before, between or after, is cleared. Entries tell each other over their links and write what they saw into the store, under a key of their own that goes by itself ten minutes after the last write; an entry has both before it has a table, so that one that starts anew knows them before it sends. The answer is 502 at once, without a time to return.

Why it holds: an entry in reach of the store or of another entry has what any of them saw; one that learns nothing at all counts two ends by itself. Kept are 512 requests, 64 of an account, those not refused dropped first.

--- /dev/null
+++ b/crash/end.go
@@ -0,0 +1,38 @@
+package crash
+
+import (
+	"time"
+
+	"geraniumpass/core"
+)
+
+// End says that an instance ended while it was running a request.
+type End struct {
+	Digest Digest `json:"digest" cbor:"1,keyasint"`
+	// Account is the name of the request's client account, empty without one.
+	Account string `json:"account,omitempty" cbor:"2,keyasint,omitempty"`
+	// Instance and Born name the start that ended; Again counts ends before this one of an instance that doesn't tell its starts apart.
+	Instance string `json:"instance" cbor:"3,keyasint"`
+	Born     int64  `json:"born,omitempty" cbor:"4,keyasint,omitempty"`
+	Again    int    `json:"again,omitempty" cbor:"5,keyasint,omitempty"`
+	// Cleared is true once the end is known not to be the request's doing.
+	Cleared bool `json:"cleared,omitempty" cbor:"6,keyasint,omitempty"`
+	// Age is how long ago the end was last confirmed, when it is told to another process.
+	Age time.Duration `json:"-" cbor:"7,keyasint,omitempty"`
+}
+
+// place is which end of which instance an End tells of.
+type place struct {
+	start core.Start
+	again int
+}
+
+func (e End) place() place {
+	return place{
+		start: core.Start{
+			ID:   e.Instance,
+			Born: e.Born,
+		},
+		again: e.Again,
+	}
+}
--- /dev/null
+++ b/crash/registry.go
@@ -0,0 +1,347 @@
+package crash
+
+import (
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"geraniumpass/core"
+)
+
+const (
+	// Kept is how long an end counts after it was last confirmed; a request that keeps coming is refused for as long as it does.
+	Kept = 10 * time.Minute
+	// renewAfter is when a refusal confirms the ends that it rests on.
+	renewAfter = Kept / 2
+	// ageSlack is by how much another process must have confirmed an end later for that to be news.
+	ageSlack = time.Minute
+	// mostSuspects bounds the requests that are kept, accountSuspects those of one client account.
+	mostSuspects    = 512
+	accountSuspects = 64
+)
+
+var counts = expvar.NewMap("requests_that_end_instances")
+
+// Registry is what a process knows of requests under which instances ended; it is safe for use by several goroutines.
+type Registry struct {
+	clock clockwork.Clock
+	log   hclog.Logger
+
+	mu       sync.Mutex
+	suspects map[Digest]*suspect
+	wholes   *wholes
+	seq      int64
+	// changed is closed at the next change, stated at the next change of what this process states itself.
+	changed chan struct{}
+	stated  chan struct{}
+}
+
+// New returns a registry that knows nothing.
+func New(clock clockwork.Clock, log hclog.Logger) *Registry {
+	return &Registry{
+		clock:    clock,
+		log:      log,
+		suspects: make(map[Digest]*suspect),
+		wholes:   newWholes(),
+		changed:  make(chan struct{}),
+		stated:   make(chan struct{}),
+	}
+}
+
+// Ended notes that a start of an instance was found to have ended while it ran a request of an account.
+func (g *Registry) Ended(d Digest, account string, start core.Start) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	e := End{
+		Digest:   d,
+		Account:  account,
+		Instance: start.ID,
+		Born:     start.Born,
+	}
+	if s := g.suspects[d]; s != nil {
+		e.Again = s.next(e, now)
+	}
+	counts.Add("ends_seen", 1)
+	if r := g.learn(e, now, true); r != nil {
+		g.log.Warn("instance ended under a request", "digest", d.String(), "account", account, "instance", start.ID, "born", start.Born,
+			"cleared", r.Cleared, "refused", g.refused(g.suspects[d]))
+	}
+}
+
+// Whole notes that a request was run without its instance ending, which clears it of the ends so far.
+func (g *Registry) Whole(d Digest) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	g.wholes.add(d, now)
+	if s := g.suspects[d]; s != nil {
+		g.clear(s, now)
+	}
+}
+
+// Refuses returns true for a request that must not be sent to any instance.
+func (g *Registry) Refuses(d Digest) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.suspects[d]
+	if s == nil || !g.refused(s) {
+		return false
+	}
+	counts.Add("refused", 1)
+	now := g.clock.Now()
+	for _, r := range s.counted() {
+		if now.Sub(r.seen) > renewAfter {
+			g.note(r, now, true)
+		}
+	}
+	return true
+}
+
+// Merge takes what another process has learned.
+func (g *Registry) Merge(ends []End) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	for _, e := range ends {
+		g.learn(e, now, false)
+	}
+}
+
+// Adopt takes what an earlier life of this process has stated, which it goes on stating.
+func (g *Registry) Adopt(ends []End) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	for _, e := range ends {
+		g.learn(e, now, true)
+	}
+}
+
+// Since returns what was learned after a number that an earlier call returned, zero for everything, and the number to go on from.
+func (g *Registry) Since(after int64) ([]End, int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.list(func(r *record) bool { return r.seq > after }), g.seq
+}
+
+// Own returns what this process states itself.
+func (g *Registry) Own() []End {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.list(func(r *record) bool { return r.own })
+}
+
+// Changed returns a channel that is closed when something is learned.
+func (g *Registry) Changed() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.changed
+}
+
+// Stated returns a channel that is closed when what this process states itself changes.
+func (g *Registry) Stated() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.stated
+}
+
+// Sweep forgets ends that were not confirmed for Kept.
+func (g *Registry) Sweep() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	for d, s := range g.suspects {
+		for p, r := range s.ends {
+			if now.Sub(r.seen) >= Kept {
+				delete(s.ends, p)
+			}
+		}
+		if len(s.ends) == 0 {
+			delete(g.suspects, d)
+		}
+	}
+}
+
+// learn takes an end and returns its record when that was news.
+func (g *Registry) learn(e End, now time.Time, own bool) *record {
+	seen := now.Add(-e.Age)
+	if e.Age < 0 || e.Age >= Kept {
+		return nil
+	}
+	s := g.suspects[e.Digest]
+	if s == nil {
+		s = g.admit(e)
+	}
+	r := s.ends[e.place()]
+	switch {
+	case r == nil && len(s.ends) >= endsKept:
+		return nil
+	case r == nil:
+		r = &record{
+			End: e,
+			at:  seen,
+		}
+		s.ends[e.place()] = r
+		g.note(r, seen, own)
+		if !e.Cleared && g.wholes.has(e.Digest, now) {
+			g.clear(s, now)
+		}
+		if g.refused(s) {
+			g.log.Warn("request is refused", "digest", e.Digest.String(), "account", e.Account, "ends", len(s.counted()))
+		}
+		return r
+	case e.Cleared && !r.Cleared:
+		r.Cleared = true
+	case own && !r.own, seen.Sub(r.seen) > ageSlack:
+	default:
+		return nil
+	}
+	g.note(r, later(seen, r.seen), own)
+	return r
+}
+
+// clear frees a request of its ends and states so.
+func (g *Registry) clear(s *suspect, now time.Time) {
+	for _, r := range s.counted() {
+		r.Cleared = true
+		counts.Add("cleared", 1)
+		g.note(r, now, true)
+		g.log.Info("request cleared of an end", "digest", s.digest.String(), "instance", r.Instance, "born", r.Born)
+	}
+}
+
+// note gives a changed record its place among the news.
+func (g *Registry) note(r *record, seen time.Time, own bool) {
+	g.seq++
+	r.seq = g.seq
+	r.seen = seen
+	close(g.changed)
+	g.changed = make(chan struct{})
+	if !own {
+		return
+	}
+	r.own = true
+	close(g.stated)
+	g.stated = make(chan struct{})
+}
+
+// refused returns true when the ends that count against a request are enough.
+func (g *Registry) refused(s *suspect) bool {
+	ends := s.counted()
+	if float64(len(ends)) < enough {
+		return false
+	}
+	sum := 0.0
+	for _, r := range ends {
+		sum += g.weight(s, r)
+	}
+	return sum >= enough
+}
+
+// weight is what an end speaks against a request: less when other instances, which it was not at, ended at the same moment.
+func (g *Registry) weight(s *suspect, r *record) float64 {
+	all := g.endedNear(g.suspects, r)
+	if len(all) < massEnds {
+		return 1
+	}
+	mine := g.endedNear(map[Digest]*suspect{s.digest: s}, r)
+	if 2*len(mine) >= len(all) {
+		return 1
+	}
+	return massWeight
+}
+
+// endedNear returns the starts that ended within massWindow of an end, of those that some requests were at.
+func (g *Registry) endedNear(of map[Digest]*suspect, r *record) map[place]bool {
+	out := make(map[place]bool)
+	for _, s := range of {
+		for p, other := range s.ends {
+			if other.at.Sub(r.at).Abs() < massWindow {
+				out[p] = true
+			}
+		}
+	}
+	return out
+}
+
+// admit makes room for a request and returns it.
+func (g *Registry) admit(e End) *suspect {
+	ofAccount := 0
+	for _, s := range g.suspects {
+		if s.account == e.Account {
+			ofAccount++
+		}
+	}
+	switch {
+	case ofAccount >= accountSuspects:
+		g.forgetOne(e.Account)
+	case len(g.suspects) >= mostSuspects:
+		g.forgetOne(g.largest())
+	}
+	s := &suspect{
+		digest:  e.Digest,
+		account: e.Account,
+		ends:    make(map[place]*record),
+	}
+	g.suspects[e.Digest] = s
+	return s
+}
+
+// forgetOne drops an account's request that was confirmed least lately, one that isn't refused if there is any.
+func (g *Registry) forgetOne(account string) {
+	var worst *suspect
+	worstRefused := false
+	for _, s := range g.suspects {
+		if s.account != account {
+			continue
+		}
+		refused := len(s.counted()) >= int(enough)
+		if worst == nil || worstRefused && !refused || worstRefused == refused && s.seen().Before(worst.seen()) {
+			worst, worstRefused = s, refused
+		}
+	}
+	if worst != nil {
+		counts.Add("forgotten", 1)
+		delete(g.suspects, worst.digest)
+	}
+}
+
+// largest returns the account with the most requests.
+func (g *Registry) largest() string {
+	by := make(map[string]int)
+	best := ""
+	for _, s := range g.suspects {
+		by[s.account]++
+		if by[s.account] > by[best] {
+			best = s.account
+		}
+	}
+	return best
+}
+
+// list returns the ends that pick chooses, with their ages.
+func (g *Registry) list(pick func(r *record) bool) []End {
+	now := g.clock.Now()
+	var out []End
+	for _, s := range g.suspects {
+		for _, r := range s.ends {
+			if pick(r) {
+				e := r.End
+				e.Age = max(0, now.Sub(r.seen))
+				out = append(out, e)
+			}
+		}
+	}
+	return out
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/gate/ends.go
+++ b/gate/ends.go
@@ -91,19 +91,27 @@
 	return !errors.As(err, &stray) && !errors.As(err, &long)
 }
 
-// noteCut looks whether the instance ended with the connection that it cut, and counts that against the request: callers send the same one
-// again, and one that ends each instance that begins it takes their groups down for as long as it comes. An instance that was leaving ends
-// as planned, and the connections at the other ranks of a broken group are cut while their instances live.
+// noteCut looks whether the instance ended with the connection that it cut, and counts that against the request. An instance that was leaving
+// ends as planned, and the connections at the other ranks of a broken group are cut while their instances live.
 func (r *request) noteCut(in core.Instance) {
 	row, listed := r.g.view.Now().Instance(in.ID)
 	if !listed || row.Leaving {
 		return
 	}
 	ended := row.Start() != in.Start() || r.g.hasEnded(in)
+	if ended {
+		r.g.ends.Ended(r.fingerprint(), r.account, in.Start())
+	}
 	r.g.log.Info("cut by its instance", "id", r.call.ID, "digest", r.fingerprint().String(), "account", r.account,
 		"instance", in.ID, "born", in.Born, "ended", ended)
 }
 
+// endsInstances returns true for a request that must not be sent any more. Its callers send the same one again, at any entry, and each instance
+// that begins it ends and breaks its group, so that nobody else is served either for as long as it comes.
+func (r *request) endsInstances() bool {
+	return r.g.ends.Refuses(r.fingerprint())
+}
+
 // fingerprint returns the digest by which the request is known when it comes again.
 func (r *request) fingerprint() crash.Digest {
 	if !r.hashed {
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -58,6 +58,9 @@
 		if r.due().Sub(r.g.clock.Now()) < leastLeft {
 			break
 		}
+		if r.endsInstances() {
+			return r.giveUpFatal()
+		}
 		in, ok := r.pick()
 		if !ok {
 			break
@@ -111,6 +114,16 @@
 	return r.refuse(r.reason, r.comeBack())
 }
 
+// giveUpFatal ends a request that ends the instances that run it. It has run, at other times if not now, and no time to come back is named:
+// the answer is a failure that promises nothing.
+func (r *request) giveUpFatal() int {
+	r.g.log.Info("request that ends instances", "id", r.call.ID, "digest", r.fingerprint().String(), "account", r.account)
+	if r.stream.begun {
+		return statusBroken
+	}
+	return r.fail(http.StatusBadGateway, "ends_instances")
+}
+
 // comeBack is when a refused caller should return.
 func (r *request) comeBack() time.Duration {
 	now := r.g.clock.Now()
@@ -189,6 +202,9 @@
 	switch v {
 	case verdictDone:
 		r.g.loads.worked(in.Start(), now)
+		if status >= 200 && status < 300 {
+			r.g.ends.Whole(r.fingerprint())
+		}
 	case verdictLost:
 		if !r.stalled(now) {
 			r.g.loads.failed(in.Start(), lostWeight, now)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -29,6 +29,8 @@
 	Started time.Time
 	// Key is what requests are hashed with to be known again, the same at all entries.
 	Key []byte
+	// Ends is what is known of requests under which instances ended; without one the gate keeps its own.
+	Ends *crash.Registry
 }
 
 // Gate answers callers; it is safe for use by several goroutines.
@@ -43,6 +45,7 @@
 	pulse   *pulse
 	probes  *probes
 	hasher  *crash.Hasher
+	ends    *crash.Registry
 	repeats *retry.Window
 	meter   *meter.Meter
 
@@ -62,6 +65,10 @@
 
 // New returns a gate over the view's table and instances.
 func New(opts Options, clock clockwork.Clock, log hclog.Logger, v *view.Keeper, d Dialect, m *meter.Meter) *Gate {
+	ends := opts.Ends
+	if ends == nil {
+		ends = crash.New(clock, log)
+	}
 	return &Gate{
 		opts:      opts,
 		clock:     clock,
@@ -73,6 +80,7 @@
 		pulse:     newPulse(),
 		probes:    newProbes(),
 		hasher:    crash.NewHasher(opts.Key),
+		ends:      ends,
 		repeats:   retry.NewWindow(opts.Allowance, opts.Started),
 		meter:     m,
 		neighbors: neighbors{name: opts.Name},
@@ -100,6 +108,7 @@
 	}
 	g.pool.Forget(func(t pool.Target) bool { return targets[t] })
 	g.probes.forget(g.clock.Now())
+	g.ends.Sweep()
 	g.loads.forget(func(start core.Start) bool {
 		in, ok := s.Instance(start.ID)
 		return ok && in.Start() == start
--- a/peer/asker.go
+++ b/peer/asker.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"geraniumpass/core"
+	"geraniumpass/crash"
 	"geraniumpass/plan"
 	"geraniumpass/proto"
 	"geraniumpass/view"
@@ -35,6 +36,7 @@
 	Key   []byte
 	Seeds []string
 	View  *view.Keeper
+	Ends  *crash.Registry
 	Log   hclog.Logger
 }
 
@@ -92,11 +94,13 @@
 			}
 		})
 	}()
+	ends := int64(0)
 	for range redraw {
 		s := a.View.Now()
 		q := &proto.NewsAsk{
 			Rev:    s.Rev,
 			WaitMs: askWait.Milliseconds(),
+			Ends:   ends,
 		}
 		if s.Table != nil {
 			q.Table = s.Table.Version
@@ -109,6 +113,7 @@
 		case n := <-answers:
 			late.Stop()
 			a.take(n)
+			ends = n.EndsUpTo
 		case <-late.C:
 			a.Log.Info("peer is silent", "peer", l.Peer.ID)
 			return
@@ -123,6 +128,8 @@
 }
 
 func (a *Asker) take(n *proto.News) {
+	// Before the snapshot: whoever has a table has to know which requests it must not send.
+	a.Ends.Merge(n.Ends)
 	s := &view.Snapshot{
 		Rev:     n.Rev,
 		Members: n.Members,
--- a/peer/server.go
+++ b/peer/server.go
@@ -5,6 +5,7 @@
 
 	"github.com/samber/lo"
 
+	"geraniumpass/crash"
 	"geraniumpass/proto"
 	"geraniumpass/view"
 	"geraniumpass/wire"
@@ -13,32 +14,46 @@
 // longestWait bounds how long a question is held, well under the five seconds of silence that end a link.
 const longestWait = 3 * time.Second
 
+// Server answers peers from what this process knows.
+type Server struct {
+	View *view.Keeper
+	Ends *crash.Registry
+}
+
 // Serve answers the questions of one peer until its link ends.
-func Serve(l *wire.Link, v *view.Keeper) {
+func (s *Server) Serve(l *wire.Link) {
 	_ = l.Receive(func(f *proto.Frame) {
 		if f.NewsAsk != nil {
-			go answer(l, v, f.NewsAsk)
+			go s.answer(l, f.NewsAsk)
 		}
 	})
 }
 
-func answer(l *wire.Link, v *view.Keeper, ask *proto.NewsAsk) {
+func (s *Server) answer(l *wire.Link, ask *proto.NewsAsk) {
 	timer := time.NewTimer(min(time.Duration(ask.WaitMs)*time.Millisecond, longestWait))
 	defer timer.Stop()
 	for {
-		changed := v.Changed()
-		s := v.Now()
-		if s.Rev > ask.Rev || s.Table != nil && s.Table.Version > ask.Table {
-			_ = l.Send(&proto.Frame{News: news(s, ask)})
+		changed, learned := s.View.Changed(), s.Ends.Changed()
+		snap := s.View.Now()
+		// Ends are looked at after the snapshot, so that they hold all that was read with it.
+		ends, upTo := s.Ends.Since(ask.Ends)
+		if snap.Rev > ask.Rev || snap.Table != nil && snap.Table.Version > ask.Table || len(ends) > 0 {
+			n := news(snap, ask)
+			n.Ends, n.EndsUpTo = ends, upTo
+			_ = l.Send(&proto.Frame{News: n})
 			return
 		}
 		select {
 		case <-l.Done():
 			return
 		case <-timer.C:
-			_ = l.Send(&proto.Frame{News: &proto.News{Rev: s.Rev}})
+			_ = l.Send(&proto.Frame{News: &proto.News{
+				Rev:      snap.Rev,
+				EndsUpTo: upTo,
+			}})
 			return
 		case <-changed:
+		case <-learned:
 		}
 	}
 }
--- a/proto/news.go
+++ b/proto/news.go
@@ -1,10 +1,14 @@
 package proto
 
+import "geraniumpass/crash"
+
 // NewsAsk asks a peer for what it knows beyond revision Rev and table version Table, waiting up to WaitMs for something.
 type NewsAsk struct {
 	Rev    int64 `cbor:"1,keyasint"`
 	Table  int64 `cbor:"2,keyasint"`
 	WaitMs int64 `cbor:"3,keyasint"`
+	// Ends is the EndsUpTo of the peer's last answer on this link, zero before one.
+	Ends int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // News is the answer: the peer's revision, and what it knows when that is newer.
@@ -18,4 +22,7 @@
 	Members   map[string]string `cbor:"5,keyasint,omitempty"`
 	// Lapsed names those of the instances that are kept although their entry has vanished.
 	Lapsed []string `cbor:"6,keyasint,omitempty"`
+	// Ends are the ends of instances that the peer has learned of beyond those asked for, EndsUpTo its number of the last of them.
+	Ends     []crash.End `cbor:"7,keyasint,omitempty"`
+	EndsUpTo int64       `cbor:"8,keyasint,omitempty"`
 }
--- a/start/gateway.go
+++ b/start/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/zeebo/errs/v2"
 
 	"geraniumpass/check"
+	"geraniumpass/crash"
 	"geraniumpass/gate"
 	"geraniumpass/logio"
 	"geraniumpass/meter"
@@ -77,6 +78,8 @@
 	clock  clockwork.Clock
 	keeper *view.Keeper
 	source *platform.Source
+	ends   *crash.Registry
+	writer *crash.Keeper
 	gate   *gate.Gate
 	own    wire.Identity
 	front  *http.Server
@@ -92,12 +95,23 @@
 	clock := do.MustInvoke[clockwork.Clock](i)
 	keeper := view.NewKeeper(cfg.ID, clock, log.Named("view"))
 	counts := meter.New(clock)
+	st := platform.NewStore(cfg.Store)
+	ends := crash.New(clock, log.Named("crash"))
+	source := platform.NewSource(st, log.Named("store"))
+	source.Teach(ends)
 	g := &gateway{
 		cfg:    cfg,
 		log:    log,
 		clock:  clock,
 		keeper: keeper,
-		source: platform.NewSource(platform.NewStore(cfg.Store), log.Named("store")),
+		source: source,
+		ends:   ends,
+		writer: &crash.Keeper{
+			Registry: ends,
+			Store:    st,
+			Key:      platform.EndsKey(cfg.ID),
+			Log:      log.Named("crash"),
+		},
 		gate: gate.New(gate.Options{
 			Name:   cfg.ID,
 			Domain: cfg.Domain,
@@ -108,6 +122,7 @@
 			},
 			Started: clock.Now(),
 			Key:     []byte(cfg.LinkKey),
+			Ends:    ends,
 		}, clock, log.Named("gate"), keeper, platform.Dialect{}, counts),
 		own: wire.Identity{
 			ID:          cfg.ID,
@@ -133,13 +148,24 @@
 			log.Warn("counts not told", "error", err)
 		}
 	})
+	mux.HandleFunc("/debug/ends", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		known, _ := ends.Since(0)
+		if err := json.NewEncoder(w).Encode(known); err != nil {
+			log.Warn("ends not told", "error", err)
+		}
+	})
 	g.ready = &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: headTimeout,
 	}
+	server := &peer.Server{
+		View: keeper,
+		Ends: ends,
+	}
 	g.links = &fasthttp.Server{
 		Handler: func(ctx *fasthttp.RequestCtx) {
-			err := wire.Accept(ctx, g.own, []byte(cfg.LinkKey), func(l *wire.Link) { peer.Serve(l, keeper) })
+			err := wire.Accept(ctx, g.own, []byte(cfg.LinkKey), server.Serve)
 			if err != nil {
 				log.Warn("link refused", "error", err)
 			}
@@ -191,8 +217,10 @@
 		Key:   []byte(g.cfg.LinkKey),
 		Seeds: g.cfg.Seeds,
 		View:  g.keeper,
+		Ends:  g.ends,
 		Log:   g.log.Named("peer"),
 	}).Run(ctx)
+	go g.writer.Run(ctx)
 	go g.sweep(ctx)
 	for {
 		select {
