--- /dev/null
+++ b/crash/registry_test.go
@@ -0,0 +1,239 @@
+package crash
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"geraniumpass/core"
+)
+
+// entry is the registry of one entry under a clock that the test moves.
+type entry struct {
+	*Registry
+	clock *clockwork.FakeClock
+}
+
+func newEntry(clock *clockwork.FakeClock) entry {
+	return entry{
+		Registry: New(clock, hclog.NewNullLogger()),
+		clock:    clock,
+	}
+}
+
+func digestOf(name string) Digest {
+	return NewHasher(nil).Digest(Request{URI: name})
+}
+
+// ends notes that an instance ended under a request, some seconds after what was before.
+func (e entry) ends(request, instance string) {
+	e.clock.Advance(4 * time.Second)
+	e.Ended(digestOf(request), "acme", core.Start{ID: instance})
+}
+
+func (e entry) refuses(request string) bool {
+	return e.Refuses(digestOf(request))
+}
+
+func TestWhichRequestsAreRefused(t *testing.T) {
+	tests := []struct {
+		name string
+		do   func(e entry)
+		want bool
+	}{
+		{"one end", func(e entry) {
+			e.ends("x", "i-1")
+		}, false},
+		{"two ends", func(e entry) {
+			e.ends("x", "i-1")
+			e.ends("x", "i-2")
+		}, true},
+		{"one end of another request", func(e entry) {
+			e.ends("x", "i-1")
+			e.ends("y", "i-2")
+		}, false},
+		{"one end noted twice", func(e entry) {
+			e.Ended(digestOf("x"), "acme", core.Start{ID: "i-1", Born: 1})
+			e.Ended(digestOf("x"), "acme", core.Start{ID: "i-1", Born: 1})
+		}, false},
+		{"two starts of one instance", func(e entry) {
+			e.Ended(digestOf("x"), "acme", core.Start{ID: "i-1", Born: 1})
+			e.Ended(digestOf("x"), "acme", core.Start{ID: "i-1", Born: 2})
+		}, true},
+		{"an instance that doesn't tell its starts apart", func(e entry) {
+			e.ends("x", "i-1")
+			e.ends("x", "i-1")
+		}, true},
+		{"ran whole before", func(e entry) {
+			e.Whole(digestOf("x"))
+			e.ends("x", "i-1")
+			e.ends("x", "i-2")
+		}, false},
+		{"ran whole long before", func(e entry) {
+			e.Whole(digestOf("x"))
+			e.clock.Advance(wholeFor)
+			e.ends("x", "i-1")
+			e.ends("x", "i-2")
+		}, true},
+		{"ran whole in between", func(e entry) {
+			e.ends("x", "i-1")
+			e.Whole(digestOf("x"))
+			e.ends("x", "i-2")
+		}, false},
+		{"ran whole after", func(e entry) {
+			e.ends("x", "i-1")
+			e.ends("x", "i-2")
+			e.Whole(digestOf("x"))
+		}, false},
+		{"not confirmed for long", func(e entry) {
+			e.ends("x", "i-1")
+			e.clock.Advance(Kept)
+			e.Sweep()
+			e.ends("x", "i-2")
+		}, false},
+		{"at two of many that ended together, twice", func(e entry) {
+			for wave := range 2 {
+				e.clock.Advance(4 * time.Second)
+				for n := range 5 {
+					e.Ended(digestOf(fmt.Sprint("other", n)), "acme", core.Start{ID: fmt.Sprint("w", wave, "-", n)})
+				}
+				e.Ended(digestOf("x"), "acme", core.Start{ID: fmt.Sprint("w", wave, "-", 0)})
+			}
+		}, false},
+		{"at one of many that ended together, four times", func(e entry) {
+			for wave := range 4 {
+				e.clock.Advance(4 * time.Second)
+				for n := range 5 {
+					e.Ended(digestOf(fmt.Sprint("other", n)), "acme", core.Start{ID: fmt.Sprint("w", wave, "-", n)})
+				}
+				e.Ended(digestOf("x"), "acme", core.Start{ID: fmt.Sprint("w", wave, "-", 0)})
+			}
+		}, true},
+		{"at all of several that ended together", func(e entry) {
+			for n := range 3 {
+				e.Ended(digestOf("x"), "acme", core.Start{ID: fmt.Sprint("i-", n)})
+			}
+		}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := newEntry(clockwork.NewFakeClock())
+			tt.do(e)
+			if got := e.refuses("x"); got != tt.want {
+				t.Errorf("refused: %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestRefusedForAsLongAsItComes has a request come again all the time, and another one not.
+func TestRefusedForAsLongAsItComes(t *testing.T) {
+	e := newEntry(clockwork.NewFakeClock())
+	for _, request := range []string{"x", "y"} {
+		e.ends(request, "i-1-"+request)
+		e.ends(request, "i-2-"+request)
+	}
+	for range 100 {
+		e.clock.Advance(time.Minute)
+		e.Sweep()
+		if !e.refuses("x") {
+			t.Fatal("sent again although it came all the time")
+		}
+	}
+	if e.refuses("y") {
+		t.Error("refused for good although it did not come any more")
+	}
+}
+
+// TestEntriesLearnFromEachOther has each end seen by another entry.
+func TestEntriesLearnFromEachOther(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	a, b, c := newEntry(clock), newEntry(clock), newEntry(clock)
+	a.ends("x", "i-1")
+	b.ends("x", "i-2")
+	told, upTo := a.Since(0)
+	c.Merge(told)
+	told, _ = b.Since(0)
+	c.Merge(told)
+	if !c.refuses("x") || a.refuses("x") {
+		t.Errorf("refused by who knows of both ends: %v, of one: %v", c.refuses("x"), a.refuses("x"))
+	}
+	if told, _ := a.Since(upTo); len(told) > 0 {
+		t.Errorf("%d ends told twice", len(told))
+	}
+	// What comes back is no news, so that entries don't tell each other the same for ever.
+	told, _ = c.Since(0)
+	before := upTo
+	a.Merge(told)
+	told, upTo = a.Since(before)
+	if len(told) != 1 {
+		t.Errorf("%d ends were news, one was", len(told))
+	}
+	a.Merge(told)
+	if told, _ := a.Since(upTo); len(told) > 0 {
+		t.Errorf("%d ends were news to who had told of them", len(told))
+	}
+}
+
+// TestClearedIsClearedEverywhere clears a request at an entry that has seen none of the ends, and tells of the ends once more afterwards.
+func TestClearedIsClearedEverywhere(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	a, b := newEntry(clock), newEntry(clock)
+	a.ends("x", "i-1")
+	a.ends("x", "i-2")
+	ends, _ := a.Since(0)
+	b.Merge(ends)
+	b.Whole(digestOf("x"))
+	if len(b.Own()) != 2 {
+		t.Errorf("%d ends stated as cleared, want 2", len(b.Own()))
+	}
+	told, _ := b.Since(0)
+	a.Merge(told)
+	a.Merge(ends)
+	if a.refuses("x") || b.refuses("x") {
+		t.Error("refused although it ran whole")
+	}
+}
+
+// TestAccountsPushOutOnlyTheirOwn has one account send more fatal requests than are kept.
+func TestAccountsPushOutOnlyTheirOwn(t *testing.T) {
+	e := newEntry(clockwork.NewFakeClock())
+	e.Ended(digestOf("x"), "small", core.Start{ID: "s-1"})
+	e.clock.Advance(4 * time.Second)
+	e.Ended(digestOf("x"), "small", core.Start{ID: "s-2"})
+	e.clock.Advance(4 * time.Second)
+	for account := range 20 {
+		for n := range 2 * accountSuspects {
+			e.Ended(digestOf(fmt.Sprint(account, "-", n)), fmt.Sprint("large-", account), core.Start{ID: fmt.Sprint(account, "-", n)})
+		}
+	}
+	if !e.refuses("x") {
+		t.Error("forgotten for another account's requests")
+	}
+	if n := len(e.suspects); n > mostSuspects {
+		t.Errorf("%d requests kept, %d allowed", n, mostSuspects)
+	}
+	alone := newEntry(clockwork.NewFakeClock())
+	for n := range 2 * accountSuspects {
+		alone.ends(fmt.Sprint(n), "i-1")
+	}
+	if n := len(alone.suspects); n > accountSuspects {
+		t.Errorf("%d requests of one account kept, %d allowed", n, accountSuspects)
+	}
+}
+
+// TestSuspectsMakeRoomForOneThatIsRefused has many requests of one account be at an instance that ends, after one of it was refused.
+func TestSuspectsMakeRoomForOneThatIsRefused(t *testing.T) {
+	e := newEntry(clockwork.NewFakeClock())
+	e.ends("x", "i-1")
+	e.ends("x", "i-2")
+	for n := range 2 * accountSuspects {
+		e.ends(fmt.Sprint("innocent-", n), "i-3")
+	}
+	if !e.refuses("x") {
+		t.Error("forgotten for requests that are not refused")
+	}
+}
--- a/peer/asker.go
+++ b/peer/asker.go
@@ -36,10 +36,15 @@
 	Key   []byte
 	Seeds []string
 	View  *view.Keeper
-	Ends  *crash.Registry
+	Ends  Learner
 	Log   hclog.Logger
 }
 
+// Learner takes what a peer knows of instances that ended under a request.
+type Learner interface {
+	Merge(ends []crash.End)
+}
+
 // Run asks until ctx ends.
 func (a *Asker) Run(ctx context.Context) {
 	for i := 1; i < peersAsked; i++ {
