Count ends that came together half, and clear those of instances that answer

A start that answers a request which was sent after its supposed end, over a connection opened before it, has not ended; that clears the end everywhere. An answer alone would not do: it may have lain in a buffer, or come from a later start under the same id.

Suspected: of two servers that end at the same moment a request goes on from the first to the second and has two ends. Ends that come together now weigh half, unless three or more servers ended and the request was at all of them; so a request that is sent on at once is refused after three ends, one that comes again later after two. Ends carry the time at which they were seen, as who reads them from the store later has to know which came together.

--- a/crash/end.go
+++ b/crash/end.go
@@ -15,6 +15,9 @@
 	Instance string `json:"instance" cbor:"3,keyasint"`
 	Born     int64  `json:"born,omitempty" cbor:"4,keyasint,omitempty"`
 	Again    int    `json:"again,omitempty" cbor:"5,keyasint,omitempty"`
+	// Time is when the end was seen, in Unix milliseconds by the clock of who saw it: whoever reads it later still knows which ends came
+	// together.
+	Time int64 `json:"time" cbor:"8,keyasint,omitempty"`
 	// Cleared is true once the end is known not to be the request's doing.
 	Cleared bool `json:"cleared,omitempty" cbor:"6,keyasint,omitempty"`
 	// Age is how long ago the end was last confirmed, when it is told to another process.
--- a/crash/registry.go
+++ b/crash/registry.go
@@ -18,6 +18,8 @@
 	renewAfter = Kept / 2
 	// ageSlack is by how much another process must have confirmed an end later for that to be news.
 	ageSlack = time.Minute
+	// atSlack is by how much an end may be older than it seems here: news of it come by the store within about a second.
+	atSlack = time.Second
 	// mostSuspects bounds the requests that are kept, accountSuspects those of one client account.
 	mostSuspects    = 512
 	accountSuspects = 64
@@ -32,8 +34,10 @@
 
 	mu       sync.Mutex
 	suspects map[Digest]*suspect
-	wholes   *wholes
-	seq      int64
+	// ended is how many ends of a start count against some request.
+	ended  map[core.Start]int
+	wholes *wholes
+	seq    int64
 	// changed is closed at the next change, stated at the next change of what this process states itself.
 	changed chan struct{}
 	stated  chan struct{}
@@ -45,6 +49,7 @@
 		clock:    clock,
 		log:      log,
 		suspects: make(map[Digest]*suspect),
+		ended:    make(map[core.Start]int),
 		wholes:   newWholes(),
 		changed:  make(chan struct{}),
 		stated:   make(chan struct{}),
@@ -61,6 +66,7 @@
 		Account:  account,
 		Instance: start.ID,
 		Born:     start.Born,
+		Time:     now.UnixMilli(),
 	}
 	if s := g.suspects[d]; s != nil {
 		e.Again = s.next(e, now)
@@ -79,7 +85,26 @@
 	now := g.clock.Now()
 	g.wholes.add(d, now)
 	if s := g.suspects[d]; s != nil {
-		g.clear(s, now)
+		g.clearAll(s, now)
+	}
+}
+
+// Answered notes that a start of an instance answered a request that was sent at a time, over a connection opened at another: it has not
+// ended in between, whatever was concluded from a refused connection, as a partition may refuse some too. An answer alone would not tell:
+// it may have lain in a buffer, or come from a later start under the same id.
+func (g *Registry) Answered(start core.Start, opened, sent time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.ended[start] == 0 {
+		return
+	}
+	now := g.clock.Now()
+	for _, s := range g.suspects {
+		for _, r := range s.counted() {
+			if r.place().start == start && opened.Before(r.at.Add(-atSlack)) && sent.After(r.at) {
+				g.clear(r, now)
+			}
+		}
 	}
 }
 
@@ -157,6 +182,7 @@
 	for d, s := range g.suspects {
 		for p, r := range s.ends {
 			if now.Sub(r.seen) >= Kept {
+				g.uncount(r)
 				delete(s.ends, p)
 			}
 		}
@@ -186,15 +212,19 @@
 			at:  seen,
 		}
 		s.ends[e.place()] = r
+		if !e.Cleared {
+			g.ended[e.place().start]++
+		}
 		g.note(r, seen, own)
 		if !e.Cleared && g.wholes.has(e.Digest, now) {
-			g.clear(s, now)
+			g.clearAll(s, now)
 		}
 		if g.refused(s) {
 			g.log.Warn("request is refused", "digest", e.Digest.String(), "account", e.Account, "ends", len(s.counted()))
 		}
 		return r
 	case e.Cleared && !r.Cleared:
+		g.uncount(r)
 		r.Cleared = true
 	case own && !r.own, seen.Sub(r.seen) > ageSlack:
 	default:
@@ -204,13 +234,31 @@
 	return r
 }
 
-// clear frees a request of its ends and states so.
-func (g *Registry) clear(s *suspect, now time.Time) {
+// clearAll frees a request of its ends.
+func (g *Registry) clearAll(s *suspect, now time.Time) {
 	for _, r := range s.counted() {
-		r.Cleared = true
-		counts.Add("cleared", 1)
-		g.note(r, now, true)
-		g.log.Info("request cleared of an end", "digest", s.digest.String(), "instance", r.Instance, "born", r.Born)
+		g.clear(r, now)
+	}
+}
+
+// clear frees a request of an end and states so.
+func (g *Registry) clear(r *record, now time.Time) {
+	g.uncount(r)
+	r.Cleared = true
+	counts.Add("cleared", 1)
+	g.note(r, now, true)
+	g.log.Info("request cleared of an end", "digest", r.Digest.String(), "instance", r.Instance, "born", r.Born)
+}
+
+// uncount notes that an end counts against its request no more.
+func (g *Registry) uncount(r *record) {
+	if r.Cleared {
+		return
+	}
+	start := r.place().start
+	g.ended[start]--
+	if g.ended[start] <= 0 {
+		delete(g.ended, start)
 	}
 }
 
@@ -242,30 +290,29 @@
 	return sum >= enough
 }
 
-// weight is what an end speaks against a request: less when other instances, which it was not at, ended at the same moment.
+// weight is what an end speaks against a request: less when other instances ended at the same moment.
 func (g *Registry) weight(s *suspect, r *record) float64 {
-	all := g.endedNear(g.suspects, r)
-	if len(all) < massEnds {
-		return 1
+	all := make(map[place]bool)
+	for _, other := range g.suspects {
+		for p, near := range other.ends {
+			if together(near, r) {
+				all[p] = true
+			}
+		}
 	}
-	mine := g.endedNear(map[Digest]*suspect{s.digest: s}, r)
-	if 2*len(mine) >= len(all) {
+	if len(all) == 1 {
 		return 1
 	}
-	return massWeight
-}
-
-// endedNear returns the starts that ended within massWindow of an end, of those that some requests were at.
-func (g *Registry) endedNear(of map[Digest]*suspect, r *record) map[place]bool {
-	out := make(map[place]bool)
-	for _, s := range of {
-		for p, other := range s.ends {
-			if other.at.Sub(r.at).Abs() < massWindow {
-				out[p] = true
-			}
+	mine := 0
+	for _, near := range s.counted() {
+		if together(near, r) {
+			mine++
 		}
 	}
-	return out
+	if len(all) >= atAll && mine == len(all) {
+		return 1
+	}
+	return togetherWeight
 }
 
 // admit makes room for a request and returns it.
@@ -306,6 +353,9 @@
 	}
 	if worst != nil {
 		counts.Add("forgotten", 1)
+		for _, r := range worst.ends {
+			g.uncount(r)
+		}
 		delete(g.suspects, worst.digest)
 	}
 }
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -81,6 +81,9 @@
 	if resp, err = a.read(); err != nil {
 		return a.unanswered(err), 0
 	}
+	if resp.StatusCode != http.StatusMisdirectedRequest {
+		r.g.ends.Answered(a.in.Start(), a.conn.Opened, sent)
+	}
 	if a.reply.Slots > 0 {
 		a.r.g.loads.report(a.in.Start(), a.reply.Running, a.reply.Waiting, a.r.g.clock.Now())
 	}
--- a/peer/ends_test.go
+++ b/peer/ends_test.go
@@ -92,6 +92,7 @@
 		return len(known) == 1
 	})
 	b.ends.Ended(d, "acme", core.Start{ID: "i-2"})
+	b.ends.Ended(d, "acme", core.Start{ID: "i-3"})
 	await(t, "c to refuse", func() bool { return c.ends.Refuses(d) })
 	a.ends.Whole(d)
 	await(t, "c to learn that one end was cleared", func() bool { return !c.ends.Refuses(d) })
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -13,6 +13,8 @@
 	Reader *bufio.Reader
 	// Reused is true when the connection has carried a request before.
 	Reused bool
+	// Opened is when the connection was opened.
+	Opened time.Time
 
 	target  Target
 	expires time.Time
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -102,6 +102,7 @@
 	return &Conn{
 		Conn:   nc,
 		Reader: bufio.NewReaderSize(nc, readBuffer),
+		Opened: p.clock.Now(),
 		target: t,
 		pool:   p,
 	}
