Command to list the ends that count against requests, and to let a request go

geraniumpass ends list and ends release DIGEST, at the platform's store: an operator whose upstream was mended does not have to wait for ten minutes without the request. A release states under the operator's name that the ends are not the request's doing; entries learn it as they learn of each other's ends and log it. TestOperatorLetsARequestGo, with bad digests, a dry run and a second release.

--- a/crash/end.go
+++ b/crash/end.go
@@ -24,18 +24,19 @@
 	Age time.Duration `json:"-" cbor:"7,keyasint,omitempty"`
 }
 
-// place is which end of which instance an End tells of.
-type place struct {
-	start core.Start
-	again int
+// Place is which end of which start an End tells of.
+type Place struct {
+	Start core.Start
+	Again int
 }
 
-func (e End) place() place {
-	return place{
-		start: core.Start{
+// Place returns which end this one is.
+func (e End) Place() Place {
+	return Place{
+		Start: core.Start{
 			ID:   e.Instance,
 			Born: e.Born,
 		},
-		again: e.Again,
+		Again: e.Again,
 	}
 }
--- a/crash/registry.go
+++ b/crash/registry.go
@@ -101,7 +101,7 @@
 	now := g.clock.Now()
 	for _, s := range g.suspects {
 		for _, r := range s.counted() {
-			if r.place().start == start && opened.Before(r.at.Add(-atSlack)) && sent.After(r.at) {
+			if r.Place().Start == start && opened.Before(r.at.Add(-atSlack)) && sent.After(r.at) {
 				g.clear(r, now)
 			}
 		}
@@ -202,7 +202,7 @@
 	if s == nil {
 		s = g.admit(e)
 	}
-	r := s.ends[e.place()]
+	r := s.ends[e.Place()]
 	switch {
 	case r == nil && len(s.ends) >= endsKept:
 		return nil
@@ -211,9 +211,9 @@
 			End: e,
 			at:  seen,
 		}
-		s.ends[e.place()] = r
+		s.ends[e.Place()] = r
 		if !e.Cleared {
-			g.ended[e.place().start]++
+			g.ended[e.Place().Start]++
 		}
 		g.note(r, seen, own)
 		if !e.Cleared && g.wholes.has(e.Digest, now) {
@@ -226,6 +226,7 @@
 	case e.Cleared && !r.Cleared:
 		g.uncount(r)
 		r.Cleared = true
+		g.log.Info("request cleared of an end elsewhere", "digest", e.Digest.String(), "instance", e.Instance, "born", e.Born)
 	case own && !r.own, seen.Sub(r.seen) > ageSlack:
 	default:
 		return nil
@@ -255,7 +256,7 @@
 	if r.Cleared {
 		return
 	}
-	start := r.place().start
+	start := r.Place().Start
 	g.ended[start]--
 	if g.ended[start] <= 0 {
 		delete(g.ended, start)
@@ -292,7 +293,7 @@
 
 // weight is what an end speaks against a request: less when other instances ended at the same moment.
 func (g *Registry) weight(s *suspect, r *record) float64 {
-	all := make(map[place]bool)
+	all := make(map[Place]bool)
 	for _, other := range g.suspects {
 		for p, near := range other.ends {
 			if together(near, r) {
@@ -332,7 +333,7 @@
 	s := &suspect{
 		digest:  e.Digest,
 		account: e.Account,
-		ends:    make(map[place]*record),
+		ends:    make(map[Place]*record),
 	}
 	g.suspects[e.Digest] = s
 	return s
--- a/crash/suspect.go
+++ b/crash/suspect.go
@@ -33,7 +33,7 @@
 type suspect struct {
 	digest  Digest
 	account string
-	ends    map[place]*record
+	ends    map[Place]*record
 }
 
 // seen returns when an end of the request was last confirmed.
@@ -62,13 +62,13 @@
 func (s *suspect) next(e End, now time.Time) int {
 	again := 0
 	for p, r := range s.ends {
-		if p.start != e.place().start {
+		if p.Start != e.Place().Start {
 			continue
 		}
 		if now.Sub(r.at) < togetherWindow {
-			return p.again
+			return p.Again
 		}
-		again = max(again, p.again+1)
+		again = max(again, p.Again+1)
 	}
 	return again
 }
--- a/oper/command.go
+++ b/oper/command.go
@@ -45,6 +45,7 @@
 	c.groups(app)
 	c.document(app)
 	c.upstreams(app)
+	c.ends(app)
 }
 
 // apply shows what a change does, then makes it, and prints the other operator's change when it lost.
--- /dev/null
+++ b/oper/ends_test.go
@@ -0,0 +1,95 @@
+package oper
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"geraniumpass/core"
+	"geraniumpass/crash"
+	"geraniumpass/platform"
+	"geraniumpass/platform/emul"
+)
+
+// TestOperatorLetsARequestGo has two entries have seen ends under one request; once the operator has released it neither of them refuses it,
+// nor does one that starts later.
+func TestOperatorLetsARequestGo(t *testing.T) {
+	st := emul.NewStore("127.0.0.1:0")
+	if err := st.Server.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(st.Close)
+	address := st.Server.Address()
+	clock, log := clockwork.NewRealClock(), hclog.NewNullLogger()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	fatal := crash.NewHasher(nil).Digest(crash.Request{URI: "/fatal"})
+	entry := crash.New(clock, log)
+	for _, id := range []string{"i-1", "i-2", "i-3"} {
+		entry.Ended(fatal, "acme", core.Start{ID: id})
+	}
+	if !entry.Refuses(fatal) {
+		t.Fatal("the request is not refused to begin with")
+	}
+	go (&crash.Keeper{
+		Registry: entry,
+		Store:    platform.NewStore(address),
+		Key:      platform.EndsKey("front-1"),
+		Log:      log,
+	}).Run(ctx)
+	for deadline := time.Now().Add(10 * time.Second); len(st.Lookup(platform.EndsKey("front-1"))) == 0; {
+		if time.Now().After(deadline) {
+			t.Fatal("the ends are not in the store")
+		}
+		<-time.After(time.Millisecond)
+	}
+	if out, err := run(t, address, "list"); err != nil || strings.Count(out, fatal.String()) != 3 || !strings.Contains(out, "front-1") {
+		t.Errorf("list: %v, %s", err, out)
+	}
+	if out, err := run(t, address, "release", fatal.String(), "--who", "ann", "--dry-run"); err != nil || !strings.Contains(out, "3 ends") {
+		t.Errorf("dry run: %v, %s", err, out)
+	}
+	if out, err := run(t, address, "release", fatal.String(), "--who", "ann"); err != nil || !strings.Contains(out, "3 ends") {
+		t.Errorf("release: %v, %s", err, out)
+	}
+	later := crash.New(clock, log)
+	source := platform.NewSource(platform.NewStore(address), log)
+	source.Teach(later)
+	if _, err := source.Load(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if known, _ := later.Since(0); len(known) != 3 || later.Refuses(fatal) {
+		t.Errorf("%d ends known, refused: %v", len(known), later.Refuses(fatal))
+	}
+	var unknown *UnknownDigestError
+	if _, err := run(t, address, "release", fatal.String(), "--who", "ann"); !errors.As(err, &unknown) {
+		t.Errorf("released twice: %v", err)
+	}
+	var bad *crash.DigestError
+	if _, err := run(t, address, "release", "12"); !errors.As(err, &bad) {
+		t.Errorf("a digest that is none: %v", err)
+	}
+}
+
+func run(t *testing.T, address string, args ...string) (string, error) {
+	t.Helper()
+	var out bytes.Buffer
+	app := kingpin.New("geraniumpass", "").Terminate(nil)
+	c := &Command{
+		Out:    &out,
+		Output: outputTable,
+		Who:    "operator",
+	}
+	app.Flag("who", "").StringVar(&c.Who)
+	app.Flag("dry-run", "").BoolVar(&c.DryRun)
+	c.ends(app)
+	_, err := app.Parse(append([]string{"ends", "--store", address}, args...))
+	return out.String(), err
+}
