--- a/crash/keeper.go
+++ b/crash/keeper.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/zeebo/errs/v2"
 
+	"geraniumpass/retry"
 	"geraniumpass/store"
 )
 
@@ -49,11 +50,11 @@
 		if own := k.Registry.Own(); len(own) > 0 {
 			if err := k.write(ctx, own); err != nil {
 				k.Log.Warn("ends of instances not in the store yet", "error", err)
-				pause(ctx, wait.NextBackOff())
+				retry.Pause(ctx, wait.NextBackOff())
 				continue
 			}
 			wait.Reset()
-			pause(ctx, writeEvery)
+			retry.Pause(ctx, writeEvery)
 		}
 		select {
 		case <-ctx.Done():
@@ -117,12 +118,3 @@
 	}
 	return ends, nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/crash/registry.go
+++ b/crash/registry.go
@@ -20,9 +20,6 @@
 	ageSlack = time.Minute
 	// atSlack is by how much an end may be older than it seems here: news of it come by the store within about a second.
 	atSlack = time.Second
-	// mostSuspects bounds the requests that are kept, accountSuspects those of one client account.
-	mostSuspects    = 512
-	accountSuspects = 64
 )
 
 var counts = expvar.NewMap("requests_that_end_instances")
@@ -278,102 +275,6 @@
 	g.stated = make(chan struct{})
 }
 
-// refused returns true when the ends that count against a request are enough.
-func (g *Registry) refused(s *suspect) bool {
-	ends := s.counted()
-	if float64(len(ends)) < enough {
-		return false
-	}
-	sum := 0.0
-	for _, r := range ends {
-		sum += g.weight(s, r)
-	}
-	return sum >= enough
-}
-
-// weight is what an end speaks against a request: less when other instances ended at the same moment.
-func (g *Registry) weight(s *suspect, r *record) float64 {
-	all := make(map[Place]bool)
-	for _, other := range g.suspects {
-		for p, near := range other.ends {
-			if together(near, r) {
-				all[p] = true
-			}
-		}
-	}
-	if len(all) == 1 {
-		return 1
-	}
-	mine := 0
-	for _, near := range s.counted() {
-		if together(near, r) {
-			mine++
-		}
-	}
-	if len(all) >= atAll && mine == len(all) {
-		return 1
-	}
-	return togetherWeight
-}
-
-// admit makes room for a request and returns it.
-func (g *Registry) admit(e End) *suspect {
-	ofAccount := 0
-	for _, s := range g.suspects {
-		if s.account == e.Account {
-			ofAccount++
-		}
-	}
-	switch {
-	case ofAccount >= accountSuspects:
-		g.forgetOne(e.Account)
-	case len(g.suspects) >= mostSuspects:
-		g.forgetOne(g.largest())
-	}
-	s := &suspect{
-		digest:  e.Digest,
-		account: e.Account,
-		ends:    make(map[Place]*record),
-	}
-	g.suspects[e.Digest] = s
-	return s
-}
-
-// forgetOne drops an account's request that was confirmed least lately, one that isn't refused if there is any.
-func (g *Registry) forgetOne(account string) {
-	var worst *suspect
-	worstRefused := false
-	for _, s := range g.suspects {
-		if s.account != account {
-			continue
-		}
-		refused := len(s.counted()) >= int(enough)
-		if worst == nil || worstRefused && !refused || worstRefused == refused && s.seen().Before(worst.seen()) {
-			worst, worstRefused = s, refused
-		}
-	}
-	if worst != nil {
-		counts.Add("forgotten", 1)
-		for _, r := range worst.ends {
-			g.uncount(r)
-		}
-		delete(g.suspects, worst.digest)
-	}
-}
-
-// largest returns the account with the most requests.
-func (g *Registry) largest() string {
-	by := make(map[string]int)
-	best := ""
-	for _, s := range g.suspects {
-		by[s.account]++
-		if by[s.account] > by[best] {
-			best = s.account
-		}
-	}
-	return best
-}
-
 // list returns the ends that pick chooses, with their ages.
 func (g *Registry) list(pick func(r *record) bool) []End {
 	now := g.clock.Now()
--- a/crash/registry_test.go
+++ b/crash/registry_test.go
@@ -34,6 +34,17 @@
 	e.Ended(digestOf(request), "acme", core.Start{ID: instance})
 }
 
+// waves has five instances end together some times, each with another request and one of them with this one too.
+func (e entry) waves(request string, times int) {
+	for wave := range times {
+		e.clock.Advance(4 * time.Second)
+		for n := range 5 {
+			e.Ended(digestOf(fmt.Sprint("other", n)), "acme", core.Start{ID: fmt.Sprint("w", wave, "-", n)})
+		}
+		e.Ended(digestOf(request), "acme", core.Start{ID: fmt.Sprint("w", wave, "-", 0)})
+	}
+}
+
 func (e entry) refuses(request string) bool {
 	return e.Refuses(digestOf(request))
 }
@@ -137,22 +148,10 @@
 			e.ends("x", "i-2")
 		}, false},
 		{"at one of many that ended together, twice", func(e entry) {
-			for wave := range 2 {
-				e.clock.Advance(4 * time.Second)
-				for n := range 5 {
-					e.Ended(digestOf(fmt.Sprint("other", n)), "acme", core.Start{ID: fmt.Sprint("w", wave, "-", n)})
-				}
-				e.Ended(digestOf("x"), "acme", core.Start{ID: fmt.Sprint("w", wave, "-", 0)})
-			}
+			e.waves("x", 2)
 		}, false},
 		{"at one of many that ended together, four times", func(e entry) {
-			for wave := range 4 {
-				e.clock.Advance(4 * time.Second)
-				for n := range 5 {
-					e.Ended(digestOf(fmt.Sprint("other", n)), "acme", core.Start{ID: fmt.Sprint("w", wave, "-", n)})
-				}
-				e.Ended(digestOf("x"), "acme", core.Start{ID: fmt.Sprint("w", wave, "-", 0)})
-			}
+			e.waves("x", 4)
 		}, true},
 		{"at all of several that ended together", func(e entry) {
 			for n := range 3 {
--- a/crash/suspect.go
+++ b/crash/suspect.go
@@ -2,20 +2,8 @@
 
 import "time"
 
-const (
-	// enough is the weight of ends from which a request is refused. Of the requests that two instances were running when they ended, as a rule
-	// only the one that ended them was at both.
-	enough = 2.0
-	// togetherWindow is within which instances count as ended together. What takes several at once is seldom one of their requests, and an
-	// innocent one that goes on from one of them to the next is at both.
-	togetherWindow = time.Second
-	// togetherWeight is what an end among others weighs. It is not zero: such requests may come several at a time, or be sent on at once.
-	togetherWeight = 0.5
-	// atAll is from how many instances on that ended together a request that was at all of them is hardly innocent.
-	atAll = 3
-	// endsKept bounds the ends kept of one request.
-	endsKept = 8
-)
+// endsKept bounds the ends kept of one request.
+const endsKept = 8
 
 // record is one end as this process knows it.
 type record struct {
@@ -72,8 +60,3 @@
 	}
 	return again
 }
-
-// together returns true for ends at the same moment.
-func together(a, b *record) bool {
-	return (time.Duration(a.Time-b.Time) * time.Millisecond).Abs() < togetherWindow
-}
--- a/group/agent.go
+++ b/group/agent.go
@@ -11,6 +11,7 @@
 
 	"geraniumpass/place"
 	"geraniumpass/proto"
+	"geraniumpass/retry"
 	"geraniumpass/shift"
 	"geraniumpass/wire"
 )
@@ -114,7 +115,7 @@
 // until then. The steady clock doesn't count while a machine is suspended, the time of day jumps when it is set.
 func (a *Agent) rest(ctx context.Context, wait time.Duration) {
 	before := a.Clock.Now()
-	pause(ctx, wait)
+	retry.Pause(ctx, wait)
 	now := a.Clock.Now()
 	steady := now.Sub(before)
 	daytime := now.Round(0).Sub(before.Round(0))
@@ -280,12 +281,3 @@
 		l.Close()
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/group/election.go
+++ b/group/election.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"geraniumpass/retry"
 	"geraniumpass/store"
 )
 
@@ -29,13 +30,13 @@
 	for ctx.Err() == nil {
 		rep, due := m.due()
 		if !due {
-			pause(ctx, campaignEvery)
+			retry.Pause(ctx, campaignEvery)
 			continue
 		}
 		fence, err := m.campaign(ctx, rep)
 		if err != nil {
 			m.Log.Info("not elected", "group", rep.Group, "error", err)
-			pause(ctx, campaignPause)
+			retry.Pause(ctx, campaignPause)
 			continue
 		}
 		m.lead(ctx, rep, fence)
@@ -47,7 +48,7 @@
 	for ctx.Err() == nil {
 		rep, known := m.Agent.Report()
 		if !known || rep.Group == "" {
-			pause(ctx, campaignEvery)
+			retry.Pause(ctx, campaignEvery)
 			continue
 		}
 		v, err := m.Store.Get(ctx, m.key(rep))
--- a/group/orders.go
+++ b/group/orders.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"geraniumpass/proto"
+	"geraniumpass/retry"
 	"geraniumpass/shift"
 	"geraniumpass/wire"
 )
@@ -102,7 +103,7 @@
 			return ans, rep
 		}
 		if !sent {
-			pause(ctx, orderPoll)
+			retry.Pause(ctx, orderPoll)
 		}
 	}
 	return shift.AnswerWait, Report{}
--- a/peer/asker.go
+++ b/peer/asker.go
@@ -11,6 +11,7 @@
 	"geraniumpass/crash"
 	"geraniumpass/plan"
 	"geraniumpass/proto"
+	"geraniumpass/retry"
 	"geraniumpass/view"
 	"geraniumpass/wire"
 )
@@ -58,7 +59,7 @@
 		if address := a.draw(); address != "" {
 			a.ask(ctx, address)
 		}
-		pause(ctx, drawAgain)
+		retry.Pause(ctx, drawAgain)
 	}
 }
 
@@ -162,12 +163,3 @@
 		a.Log.Info("learned from a peer", "rev", n.Rev)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- /dev/null
+++ b/shift/world_test.go
@@ -0,0 +1,159 @@
+package shift
+
+const ranks = 2
+
+// engine is a rank as the platform's pages describe it.
+type engine struct {
+	Map, Prepared, Armed, ArmedStep, Held int64
+}
+
+// late is an order that got no answer and may be carried out at any later moment; Op is 0 for none.
+type late struct {
+	Epoch int64
+	Rank  int
+	Op    Op
+	V, N  int64
+}
+
+// lead is a Leader in a form that can be a key.
+type lead struct {
+	Alive   bool
+	Phase   Phase
+	Epoch   int64
+	Version int64
+	Step    int64
+	Ahead   int64
+	Holder  int
+	Ranks   [ranks]State
+	Done    [ranks]bool
+	Next    int64
+	Begun   int
+}
+
+type world struct {
+	Step     int64
+	Epoch    int64
+	Engines  [ranks]engine
+	Guards   [ranks]Guard
+	Late     [2]late
+	Leads    [2]lead
+	Restarts int
+}
+
+// bounds is what one exploration may do.
+type bounds struct {
+	steps    int64
+	late     int
+	leaders  int
+	switches int
+	restarts int
+	breaks   int64
+	states   int
+	// most is the farthest that a hold may lie ahead; with a small one a few steps are enough to come to every case.
+	most     int64
+	mutation string
+}
+
+// outruns returns true when a rank has prepared something later than what another is armed with for a step that is still to come: it can
+// never be armed alike, so that the group stands for good.
+func (w *world) outruns(e engine) bool {
+	for _, other := range w.Engines {
+		if other.Armed != None && other.ArmedStep > w.Step && e.Armed == None && e.Map != other.Armed && e.Prepared > other.Armed {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *world) state(r int) State {
+	e := w.Engines[r]
+	return State{
+		Epoch:     w.Epoch,
+		Open:      true,
+		Step:      w.Step,
+		Map:       e.Map,
+		Prepared:  e.Prepared,
+		Armed:     e.Armed,
+		ArmedStep: e.ArmedStep,
+		Held:      e.Held,
+	}
+}
+
+// execute carries an order out as the platform's engines do: it changes nothing where they would refuse.
+func (w *world) execute(r int, op Op, epoch, v, n int64) {
+	if epoch != w.Epoch {
+		return
+	}
+	e := &w.Engines[r]
+	switch op {
+	case OpPrepare:
+		if e.Armed == None && v > e.Prepared && v > e.Map {
+			e.Prepared = v
+		}
+	case OpHold:
+		if e.Held == None && n > w.Step {
+			e.Held = n
+		}
+	case OpArm:
+		if e.Armed == None && e.Prepared == v && n > w.Step {
+			e.Armed, e.ArmedStep = v, n
+		}
+	case OpGo:
+		if e.Held == n {
+			e.Held = None
+		}
+	}
+}
+
+func (w *world) begin() bool {
+	next := w.Step + 1
+	for _, e := range w.Engines {
+		if e.Held == next {
+			return false
+		}
+	}
+	w.Step = next
+	for r := range w.Engines {
+		e := &w.Engines[r]
+		if e.Armed != None && e.ArmedStep == next {
+			e.Map = e.Armed
+			e.Armed, e.ArmedStep, e.Prepared = None, None, None
+		}
+	}
+	return true
+}
+
+func (w *world) addLate(most int, l late) bool {
+	for i := range min(most, len(w.Late)) {
+		if w.Late[i] == l {
+			return false
+		}
+		if w.Late[i].Op == 0 {
+			w.Late[i] = l
+			return true
+		}
+	}
+	return false
+}
+
+func (l lead) leader(fence int64) *Leader {
+	return &Leader{
+		Fence:   fence,
+		Phase:   l.Phase,
+		Epoch:   l.Epoch,
+		Version: l.Version,
+		Step:    l.Step,
+		Ahead:   l.Ahead,
+		Holder:  l.Holder,
+		Ranks:   append([]State(nil), l.Ranks[:]...),
+		Done:    append([]bool(nil), l.Done[:]...),
+		Next:    l.Next,
+	}
+}
+
+func (l *lead) set(from *Leader) {
+	l.Phase, l.Epoch, l.Version, l.Step = from.Phase, from.Epoch, from.Version, from.Step
+	l.Ahead, l.Holder, l.Next = from.Ahead, from.Holder, from.Next
+	copy(l.Ranks[:], from.Ranks)
+	copy(l.Done[:], from.Done)
+}
--- a/view/follow.go
+++ b/view/follow.go
@@ -7,6 +7,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"geraniumpass/retry"
 	"geraniumpass/store"
 )
 
@@ -45,7 +46,7 @@
 			k.tickWhileWaiting()
 			wait.Reset()
 			full = false
-			pause(ctx, k.gatherTime())
+			retry.Pause(ctx, k.gatherTime())
 			continue
 		}
 		var compacted *store.CompactedError
@@ -59,7 +60,7 @@
 		}
 		k.StoreLost()
 		k.log.Warn("store can't be read", "error", err)
-		pause(ctx, wait.NextBackOff())
+		retry.Pause(ctx, wait.NextBackOff())
 	}
 }
 
@@ -124,7 +125,7 @@
 		case <-changed:
 		}
 	}
-	pause(ctx, quiet)
+	retry.Pause(ctx, quiet)
 	cancel(errOvertaken)
 }
 
@@ -148,12 +149,3 @@
 		}
 	}()
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
