Tell ends without the lists, ask anew after 50 ms, and make room among cleared ends

From a reading of the change. A peer that told of one end sent its whole list of instances with it, some hundred rows at size, to three askers, for each end; lists go only to who lacks them now. An instance found alive was not asked about for half a second, in which an end of it would have been missed; cuts of one moment lie some 20 ms apart. A request that had been cleared eight times could never be accused again; the oldest cleared end makes room.

--- a/crash/registry.go
+++ b/crash/registry.go
@@ -201,7 +201,7 @@
 	}
 	r := s.ends[e.Place()]
 	switch {
-	case r == nil && len(s.ends) >= endsKept:
+	case r == nil && len(s.ends) >= endsKept && !s.dropCleared():
 		return nil
 	case r == nil:
 		r = &record{
--- a/crash/registry_test.go
+++ b/crash/registry_test.go
@@ -114,6 +114,15 @@
 			e.ends("x", "i-2")
 			e.Whole(digestOf("x"))
 		}, false},
+		{"cleared many times before", func(e entry) {
+			for n := range 2 * endsKept {
+				e.ends("x", fmt.Sprint("c-", n))
+				e.Whole(digestOf("x"))
+			}
+			e.clock.Advance(wholeFor)
+			e.ends("x", "i-1")
+			e.ends("x", "i-2")
+		}, true},
 		{"an instance answers what was sent after its end", func(e entry) {
 			opened := e.clock.Now()
 			e.ends("x", "i-1")
--- a/crash/suspect.go
+++ b/crash/suspect.go
@@ -46,6 +46,22 @@
 	return out
 }
 
+// dropCleared forgets the cleared end that was confirmed least lately and returns false when there is none: a request that runs all day is at
+// many ends which are not its doing.
+func (s *suspect) dropCleared() bool {
+	var oldest *record
+	for _, r := range s.ends {
+		if r.Cleared && (oldest == nil || r.seen.Before(oldest.seen)) {
+			oldest = r
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	delete(s.ends, oldest.Place())
+	return true
+}
+
 // next returns which end of a start a new one is: the last one known when that was a moment ago, seen by others too.
 func (s *suspect) next(e End, now time.Time) int {
 	again := 0
--- a/gate/ends.go
+++ b/gate/ends.go
@@ -15,8 +15,9 @@
 	// probeTime bounds the question whether an instance has ended: a refusal comes within two delays between failure domains, and a caller
 	// whose request may go on elsewhere waits for it.
 	probeTime = 100 * time.Millisecond
-	// probeFresh is how long an answer to it holds for other requests, which a group of ranks loses at the same moment.
-	probeFresh = 500 * time.Millisecond
+	// probeFresh is how long an answer to it holds for other requests, which a group of ranks loses at the same moment. An instance that ends
+	// within that time after it was found alive is missed.
+	probeFresh = 50 * time.Millisecond
 )
 
 // probes remembers the questions whether starts of instances have ended, so that requests cut at the same moment ask once.
--- a/peer/ends_test.go
+++ b/peer/ends_test.go
@@ -98,6 +98,31 @@
 	await(t, "c to learn that one end was cleared", func() bool { return !c.ends.Refuses(d) })
 }
 
+// TestEndsTravelWithoutTheLists has a peer know of an end and nothing else that is new: its list of instances is long.
+func TestEndsTravelWithoutTheLists(t *testing.T) {
+	snap := &view.Snapshot{
+		Rev:       7,
+		Instances: []core.Instance{{ID: "i-1"}},
+		Members:   map[string]string{"a": "x"},
+	}
+	tests := []struct {
+		name  string
+		rev   int64
+		lists bool
+	}{
+		{"asker knows the revision", 7, false},
+		{"asker knows an earlier one", 6, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			n := news(snap, &proto.NewsAsk{Rev: tt.rev})
+			if got := len(n.Instances) > 0 && len(n.Members) > 0; got != tt.lists || n.Newer != tt.lists {
+				t.Errorf("lists sent: %v, newer: %v; want %v", got, n.Newer, tt.lists)
+			}
+		})
+	}
+}
+
 // order notes whether a table was known when ends came.
 type order struct {
 	view  *view.Keeper
--- a/peer/server.go
+++ b/peer/server.go
@@ -60,12 +60,14 @@
 
 func news(s *view.Snapshot, ask *proto.NewsAsk) *proto.News {
 	n := &proto.News{
-		Rev:     s.Rev,
-		Members: s.Members,
-		Lapsed:  s.Lapsed,
-		Newer:   s.Rev > ask.Rev,
-		// Both encode plain structs of our own, which can't fail.
-		Instances: lo.Must(proto.Marshal(s.Instances)),
+		Rev:   s.Rev,
+		Newer: s.Rev > ask.Rev,
+	}
+	// Plain structs of our own can always be encoded. Ends of instances come one by one, and the lists are long: they go only to who lacks them.
+	if n.Newer {
+		n.Instances = lo.Must(proto.Marshal(s.Instances))
+		n.Members = s.Members
+		n.Lapsed = s.Lapsed
 	}
 	if s.Table != nil && s.Table.Version > ask.Table {
 		n.Table = lo.Must(proto.Marshal(s.Table))
--- a/pool/probe.go
+++ b/pool/probe.go
@@ -6,8 +6,8 @@
 	"syscall"
 )
 
-// Refuses returns true when nobody listens at a target any more, which tells that its process has ended. A connection that is opened to find
-// out is kept for the next request; silence, as of a partition, tells nothing.
+// Refuses returns true when connections to a target are refused: its process has ended, or a partition refuses in its place. A connection
+// that is opened to find out is kept for the next request; silence tells nothing.
 func (p *Pool) Refuses(ctx context.Context, t Target) bool {
 	p.reserve(t, unbounded)
 	nc, err := p.dialer.DialContext(ctx, "tcp4", t.Address)
