Count an end half where nothing of its failure domain can be reached

Now an entry that is refused asks up to three other instances of the domain; if none accepts, the end is unsure and counts half, and three at once are not enough. Tests for both, and rows for weights.

--- a/crash/end.go
+++ b/crash/end.go
@@ -18,6 +18,8 @@
 	// Time is when the end was seen, in Unix milliseconds by the clock of who saw it: whoever reads it later still knows which ends came
 	// together.
 	Time int64 `json:"time" cbor:"8,keyasint,omitempty"`
+	// Unsure is true when no other instance of that one's failure domain could be reached either, as in a partition.
+	Unsure bool `json:"unsure,omitempty" cbor:"9,keyasint,omitempty"`
 	// Cleared is true once the end is known not to be the request's doing.
 	Cleared bool `json:"cleared,omitempty" cbor:"6,keyasint,omitempty"`
 	// Age is how long ago the end was last confirmed, when it is told to another process.
--- a/crash/registry.go
+++ b/crash/registry.go
@@ -53,8 +53,9 @@
 	}
 }
 
-// Ended notes that a start of an instance was found to have ended while it ran a request of an account.
-func (g *Registry) Ended(d Digest, account string, start core.Start) {
+// Ended notes that a start of an instance was found to have ended while it ran a request of an account; sure is false when it may only have
+// been out of reach.
+func (g *Registry) Ended(d Digest, account string, start core.Start, sure bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
@@ -64,6 +65,7 @@
 		Instance: start.ID,
 		Born:     start.Born,
 		Time:     now.UnixMilli(),
+		Unsure:   !sure,
 	}
 	if s := g.suspects[d]; s != nil {
 		e.Again = s.next(e, now)
@@ -71,7 +73,7 @@
 	counts.Add("ends_seen", 1)
 	if r := g.learn(e, now, true); r != nil {
 		g.log.Warn("instance ended under a request", "digest", d.String(), "account", account, "instance", start.ID, "born", start.Born,
-			"cleared", r.Cleared, "refused", g.refused(g.suspects[d]))
+			"sure", sure, "cleared", r.Cleared, "refused", g.refused(g.suspects[d]))
 	}
 }
 
--- a/crash/registry_test.go
+++ b/crash/registry_test.go
@@ -31,7 +31,7 @@
 // ends notes that an instance ended under a request, some seconds after what was before.
 func (e entry) ends(request, instance string) {
 	e.clock.Advance(4 * time.Second)
-	e.Ended(digestOf(request), "acme", core.Start{ID: instance})
+	e.Ended(digestOf(request), "acme", core.Start{ID: instance}, true)
 }
 
 // waves has five instances end together some times, each with another request and one of them with this one too.
@@ -39,9 +39,9 @@
 	for wave := range times {
 		e.clock.Advance(4 * time.Second)
 		for n := range 5 {
-			e.Ended(digestOf(fmt.Sprint("other", n)), "acme", core.Start{ID: fmt.Sprint("w", wave, "-", n)})
+			e.Ended(digestOf(fmt.Sprint("other", n)), "acme", core.Start{ID: fmt.Sprint("w", wave, "-", n)}, true)
 		}
-		e.Ended(digestOf(request), "acme", core.Start{ID: fmt.Sprint("w", wave, "-", 0)})
+		e.Ended(digestOf(request), "acme", core.Start{ID: fmt.Sprint("w", wave, "-", 0)}, true)
 	}
 }
 
@@ -67,27 +67,27 @@
 			e.ends("y", "i-2")
 		}, false},
 		{"one end noted twice", func(e entry) {
-			e.Ended(digestOf("x"), "acme", core.Start{ID: "i-1", Born: 1})
-			e.Ended(digestOf("x"), "acme", core.Start{ID: "i-1", Born: 1})
+			e.Ended(digestOf("x"), "acme", core.Start{ID: "i-1", Born: 1}, true)
+			e.Ended(digestOf("x"), "acme", core.Start{ID: "i-1", Born: 1}, true)
 		}, false},
 		{"two starts of one instance", func(e entry) {
-			e.Ended(digestOf("x"), "acme", core.Start{ID: "i-1", Born: 1})
+			e.Ended(digestOf("x"), "acme", core.Start{ID: "i-1", Born: 1}, true)
 			e.clock.Advance(togetherWindow)
-			e.Ended(digestOf("x"), "acme", core.Start{ID: "i-1", Born: 2})
+			e.Ended(digestOf("x"), "acme", core.Start{ID: "i-1", Born: 2}, true)
 		}, true},
 		{"sent on from one that ends to another that ends with it", func(e entry) {
-			e.Ended(digestOf("x"), "acme", core.Start{ID: "i-1"})
-			e.Ended(digestOf("x"), "acme", core.Start{ID: "i-2"})
+			e.Ended(digestOf("x"), "acme", core.Start{ID: "i-1"}, true)
+			e.Ended(digestOf("x"), "acme", core.Start{ID: "i-2"}, true)
 		}, false},
 		{"two that ended together, and one later", func(e entry) {
-			e.Ended(digestOf("x"), "acme", core.Start{ID: "i-1"})
-			e.Ended(digestOf("x"), "acme", core.Start{ID: "i-2"})
+			e.Ended(digestOf("x"), "acme", core.Start{ID: "i-1"}, true)
+			e.Ended(digestOf("x"), "acme", core.Start{ID: "i-2"}, true)
 			e.ends("x", "i-3")
 		}, true},
 		{"at two of three that ended together", func(e entry) {
-			e.Ended(digestOf("x"), "acme", core.Start{ID: "i-1"})
-			e.Ended(digestOf("x"), "acme", core.Start{ID: "i-2"})
-			e.Ended(digestOf("y"), "acme", core.Start{ID: "i-3"})
+			e.Ended(digestOf("x"), "acme", core.Start{ID: "i-1"}, true)
+			e.Ended(digestOf("x"), "acme", core.Start{ID: "i-2"}, true)
+			e.Ended(digestOf("y"), "acme", core.Start{ID: "i-3"}, true)
 		}, false},
 		{"an instance that doesn't tell its starts apart", func(e entry) {
 			e.ends("x", "i-1")
@@ -114,6 +114,23 @@
 			e.ends("x", "i-2")
 			e.Whole(digestOf("x"))
 		}, false},
+		{"two ends that may be a partition", func(e entry) {
+			for n := range 2 {
+				e.clock.Advance(4 * time.Second)
+				e.Ended(digestOf("x"), "acme", core.Start{ID: fmt.Sprint("i-", n)}, false)
+			}
+		}, false},
+		{"three at once that may be a partition", func(e entry) {
+			for n := range 3 {
+				e.Ended(digestOf("x"), "acme", core.Start{ID: fmt.Sprint("i-", n)}, false)
+			}
+		}, false},
+		{"four ends that may be a partition", func(e entry) {
+			for n := range 4 {
+				e.clock.Advance(4 * time.Second)
+				e.Ended(digestOf("x"), "acme", core.Start{ID: fmt.Sprint("i-", n)}, false)
+			}
+		}, true},
 		{"cleared many times before", func(e entry) {
 			for n := range 2 * endsKept {
 				e.ends("x", fmt.Sprint("c-", n))
@@ -164,7 +181,7 @@
 		}, true},
 		{"at all of several that ended together", func(e entry) {
 			for n := range 3 {
-				e.Ended(digestOf("x"), "acme", core.Start{ID: fmt.Sprint("i-", n)})
+				e.Ended(digestOf("x"), "acme", core.Start{ID: fmt.Sprint("i-", n)}, true)
 			}
 		}, true},
 	}
@@ -251,13 +268,13 @@
 // TestAccountsPushOutOnlyTheirOwn has one account send more fatal requests than are kept.
 func TestAccountsPushOutOnlyTheirOwn(t *testing.T) {
 	e := newEntry(clockwork.NewFakeClock())
-	e.Ended(digestOf("x"), "small", core.Start{ID: "s-1"})
+	e.Ended(digestOf("x"), "small", core.Start{ID: "s-1"}, true)
 	e.clock.Advance(4 * time.Second)
-	e.Ended(digestOf("x"), "small", core.Start{ID: "s-2"})
+	e.Ended(digestOf("x"), "small", core.Start{ID: "s-2"}, true)
 	e.clock.Advance(4 * time.Second)
 	for account := range 20 {
 		for n := range 2 * accountSuspects {
-			e.Ended(digestOf(fmt.Sprint(account, "-", n)), fmt.Sprint("large-", account), core.Start{ID: fmt.Sprint(account, "-", n)})
+			e.Ended(digestOf(fmt.Sprint(account, "-", n)), fmt.Sprint("large-", account), core.Start{ID: fmt.Sprint(account, "-", n)}, true)
 		}
 	}
 	if !e.refuses("x") {
--- a/crash/weigh.go
+++ b/crash/weigh.go
@@ -9,8 +9,9 @@
 	// togetherWindow is within which instances count as ended together. What takes several at once is seldom one of their requests, and an
 	// innocent one that goes on from one of them to the next is at both.
 	togetherWindow = time.Second
-	// togetherWeight is what an end among others weighs. It is not zero: such requests may come several at a time, or be sent on at once.
-	togetherWeight = 0.5
+	// doubtWeight is what an end among others weighs, or one that may have been a partition. It is not zero: such requests may come several at
+	// a time, be sent on at once, and take a whole failure domain.
+	doubtWeight = 0.5
 	// atAll is from how many instances on that ended together a request that was at all of them is hardly innocent.
 	atAll = 3
 )
@@ -28,8 +29,11 @@
 	return sum >= enough
 }
 
-// weight is what an end speaks against a request: less when other instances ended at the same moment.
+// weight is what an end speaks against a request: less when other instances ended at the same moment or may only have been out of reach.
 func (g *Registry) weight(s *suspect, r *record) float64 {
+	if r.Unsure {
+		return doubtWeight
+	}
 	all := make(map[Place]bool)
 	for _, other := range g.suspects {
 		for p, near := range other.ends {
@@ -50,7 +54,7 @@
 	if len(all) >= atAll && mine == len(all) {
 		return 1
 	}
-	return togetherWeight
+	return doubtWeight
 }
 
 // together returns true for ends at the same moment.
--- a/gate/ends.go
+++ b/gate/ends.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"geraniumpass/core"
 	"geraniumpass/crash"
 )
@@ -18,6 +20,8 @@
 	// probeFresh is how long an answer to it holds for other requests, which a group of ranks loses at the same moment. An instance that ends
 	// within that time after it was found alive is missed.
 	probeFresh = 50 * time.Millisecond
+	// othersAsked is how many other instances of a failure domain are asked whether it can be reached at all; two may have ended as well.
+	othersAsked = 3
 )
 
 // probes remembers the questions whether starts of instances have ended, so that requests cut at the same moment ask once.
@@ -31,6 +35,8 @@
 	// done is closed once ended is known.
 	done  chan struct{}
 	ended bool
+	// sure is true when another instance of the failure domain was reached.
+	sure bool
 }
 
 func newProbes() *probes {
@@ -63,18 +69,34 @@
 	}
 }
 
-// hasEnded returns true when the process of an instance's start is found to have ended.
-func (g *Gate) hasEnded(in core.Instance) bool {
+// hasEnded returns whether the process of an instance's start is found to have ended, as connections to it are refused, and whether that is
+// sure: a cut between failure domains may refuse them too, and then no other instance of the domain accepts any.
+func (g *Gate) hasEnded(in core.Instance) (ended, sure bool) {
 	p, mine := g.probes.find(in.Start(), g.clock.Now())
 	if !mine {
 		<-p.done
-		return p.ended
+		return p.ended, p.sure
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
 	defer cancel()
 	p.ended = g.pool.Refuses(ctx, targetOf(in))
+	p.sure = p.ended && g.reaches(ctx, in)
 	close(p.done)
-	return p.ended
+	return p.ended, p.sure
+}
+
+// reaches returns true when another instance of a failure domain accepts connections, or when there is none to ask.
+func (g *Gate) reaches(ctx context.Context, in core.Instance) bool {
+	others := lo.Filter(g.view.Now().Instances, func(other core.Instance, _ int) bool {
+		return other.Domain == in.Domain && other.Address != in.Address && !other.Leaving
+	})
+	asked := 0
+	for at := g.draw(max(1, len(others))); asked < min(othersAsked, len(others)); asked++ {
+		if g.pool.Accepts(ctx, targetOf(others[(at+asked)%len(others)])) {
+			return true
+		}
+	}
+	return asked == 0
 }
 
 // isCut returns true for an error that tells of the connection's end at the other side, not of silence or of our own doing.
@@ -99,9 +121,12 @@
 	if !listed || row.Leaving {
 		return
 	}
-	ended := row.Start() != in.Start() || r.g.hasEnded(in)
+	ended, sure := true, true
+	if row.Start() == in.Start() {
+		ended, sure = r.g.hasEnded(in)
+	}
 	if ended {
-		r.g.ends.Ended(r.fingerprint(), r.account, in.Start())
+		r.g.ends.Ended(r.fingerprint(), r.account, in.Start(), sure)
 	}
 	r.g.log.Info("cut by its instance", "id", r.call.ID, "digest", r.fingerprint().String(), "account", r.account,
 		"instance", in.ID, "born", in.Born, "ended", ended)
--- a/oper/ends_test.go
+++ b/oper/ends_test.go
@@ -33,7 +33,7 @@
 	fatal := crash.NewHasher(nil).Digest(crash.Request{URI: "/fatal"})
 	entry := crash.New(clock, log)
 	for _, id := range []string{"i-1", "i-2", "i-3"} {
-		entry.Ended(fatal, "acme", core.Start{ID: id})
+		entry.Ended(fatal, "acme", core.Start{ID: id}, true)
 	}
 	if !entry.Refuses(fatal) {
 		t.Fatal("the request is not refused to begin with")
--- a/peer/ends_test.go
+++ b/peer/ends_test.go
@@ -86,13 +86,13 @@
 	a, b, c := newNode(t, "a"), newNode(t, "b"), newNode(t, "c")
 	b.asks(t, "b", a)
 	c.asks(t, "c", b)
-	a.ends.Ended(d, "acme", core.Start{ID: "i-1"})
+	a.ends.Ended(d, "acme", core.Start{ID: "i-1"}, true)
 	await(t, "the first end to reach c", func() bool {
 		known, _ := c.ends.Since(0)
 		return len(known) == 1
 	})
-	b.ends.Ended(d, "acme", core.Start{ID: "i-2"})
-	b.ends.Ended(d, "acme", core.Start{ID: "i-3"})
+	b.ends.Ended(d, "acme", core.Start{ID: "i-2"}, true)
+	b.ends.Ended(d, "acme", core.Start{ID: "i-3"}, true)
 	await(t, "c to refuse", func() bool { return c.ends.Refuses(d) })
 	a.ends.Whole(d)
 	await(t, "c to learn that one end was cleared", func() bool { return !c.ends.Refuses(d) })
--- a/pool/probe_test.go
+++ b/pool/probe_test.go
@@ -18,14 +18,14 @@
 	target := Target{Address: ln.Addr().String()}
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	if p.Refuses(ctx, target) {
+	if p.Refuses(ctx, target) || !p.Accepts(ctx, target) {
 		t.Error("one that listens is taken for ended")
 	}
-	if p.Idle(target) != 1 {
-		t.Errorf("%d connections kept, want the one that was opened to find out", p.Idle(target))
+	if p.Idle(target) != 2 {
+		t.Errorf("%d connections kept, want those that were opened to find out", p.Idle(target))
 	}
 	_ = ln.Close()
-	if !p.Refuses(ctx, target) {
+	if !p.Refuses(ctx, target) || p.Accepts(ctx, target) {
 		t.Error("one that has ended is taken for listening")
 	}
 	// Silence, as of a partition, is no refusal.
@@ -34,7 +34,7 @@
 	if p.Refuses(over, target) {
 		t.Error("one that was not reached in time is taken for ended")
 	}
-	if p.open[target] != 1 {
-		t.Errorf("%d connections counted as open, want 1", p.open[target])
+	if p.open[target] != 2 {
+		t.Errorf("%d connections counted as open, want 2", p.open[target])
 	}
 }
