--- a/crash/digest.go
+++ b/crash/digest.go
@@ -70,13 +70,3 @@
 	copy(d[:], b)
 	return nil
 }
-
-// DigestError says that a text is no digest.
-type DigestError struct {
-	Got string
-}
-
-// Error names the text.
-func (e *DigestError) Error() string {
-	return "no digest of a request: " + e.Got
-}
--- a/crash/keeper.go
+++ b/crash/keeper.go
@@ -100,16 +100,6 @@
 	return &StaleError{Key: k.Key}
 }
 
-// StaleError says that a key had changed and is to be written again.
-type StaleError struct {
-	Key string
-}
-
-// Error names the key.
-func (e *StaleError) Error() string {
-	return "key " + e.Key + " had changed"
-}
-
 // Decode reads a value that a Keeper has written.
 func Decode(data []byte) ([]End, error) {
 	var ends []End
