Send slow ranks no work while others have room

Cause: the rank's own part of a step, which grows with the streams that it writes; gateways knew nothing of its pace. Now the group's leader keeps a key of the store at its slow ranks (from 1.25, hysteresis down to 1.1), gateways read it with the watch that they have, peers tell it on, and each tenth above the usual pace weighs as much as a fifth of the slots. Why it holds: one write a change of which are slow, taken back by the next leader, restarts go by the start of the instance.

Ruled out: pauses seen by a gateway, which are alike for all ranks of a group; reports read by gateways, which cost as probes do and come late.

--- a/core/instance.go
+++ b/core/instance.go
@@ -30,8 +30,8 @@
 
 // Start identifies one start of an instance: a process that starts again under the same id knows nothing of what came before.
 type Start struct {
-	ID   string
-	Born int64
+	ID   string `json:"id"`
+	Born int64  `json:"born,omitempty"`
 }
 
 // Start returns the start of the instance that this row tells of.
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -157,6 +157,7 @@
 			Load:    load,
 			Slots:   in.Slots,
 			Near:    near[in.ID],
+			Pace:    snap.Pace(in),
 			Penalty: failures * failurePenalty,
 			Open:    r.g.pool.Idle(targetOf(in)) > 0,
 			Barred: failures > barAfter || alive && r.g.loads.silent(in.Start(), now) > silentAfter ||
--- a/group/lead.go
+++ b/group/lead.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"geraniumpass/core"
 	"geraniumpass/place"
 	"geraniumpass/plan"
 	"geraniumpass/proto"
@@ -68,6 +69,10 @@
 	known   []bool
 	// paces is how many times its usual time each rank takes for a step.
 	paces []float64
+	// starts are the instances behind the ranks, instances those behind the agents' addresses.
+	starts    []core.Start
+	instances map[string]core.Start
+	slow      *slowRanks
 
 	seq    uint64
 	sent   []shift.Order
@@ -123,6 +128,8 @@
 		foreign:  make(map[string]time.Time),
 		known:    make([]bool, rep.Size),
 		paces:    slices.Repeat([]float64{usualPace}, rep.Size),
+		starts:   make([]core.Start, rep.Size),
+		slow:     newSlowRanks(m.Store, m.SlowPrefix+rep.Group, m.Log),
 		sent:     make([]shift.Order, rep.Size),
 		sentAt:   make([]time.Time, rep.Size),
 		seqs:     make([]uint64, rep.Size),
@@ -136,6 +143,7 @@
 		entered:  m.Clock.Now(),
 	}
 	defer d.close()
+	go d.slow.run(ctx)
 	tick := m.Clock.NewTicker(tickEvery)
 	defer tick.Stop()
 	for {
@@ -150,6 +158,7 @@
 		case <-tick.Chan():
 			d.connect(ctx)
 			d.speak()
+			d.tellSlow()
 		}
 		if d.outdone() {
 			m.Log.Info("replaced as leader", "group", d.group, "fence", fence)
@@ -197,6 +206,7 @@
 	}
 	d.known[r] = true
 	d.paces[r] = paceOf(rank)
+	d.starts[r] = d.instances[e.address]
 	if chosen := chosenOf(rank); len(chosen) > 0 {
 		d.demand.Observe(d.m.Clock.Now(), chosen, rank.Unit)
 	}
@@ -243,3 +253,17 @@
 func paceOf(r *proto.GroupRank) float64 {
 	return max(usualPace, r.Pace)
 }
+
+// tellSlow has the store hold which ranks are slow.
+func (d *leading) tellSlow() {
+	var paces []core.Pace
+	for r, start := range d.starts {
+		if start.ID != "" {
+			paces = append(paces, core.Pace{
+				Start: start,
+				Pace:  d.paces[r],
+			})
+		}
+	}
+	d.slow.see(paces)
+}
--- a/group/links.go
+++ b/group/links.go
@@ -48,9 +48,12 @@
 		}
 	}
 	d.addresses = d.addresses[:0]
+	d.instances = make(map[string]core.Start, len(c.Put))
 	for _, in := range c.Put {
 		if in.Service == d.m.Service {
-			d.addresses = append(d.addresses, d.agentOf(in))
+			address := d.agentOf(in)
+			d.addresses = append(d.addresses, address)
+			d.instances[address] = in.Start()
 		}
 	}
 }
--- a/group/member.go
+++ b/group/member.go
@@ -22,6 +22,8 @@
 	Service string
 	// Prefix is where the store keeps the leaders of groups.
 	Prefix string
+	// SlowPrefix is where the store keeps which ranks of groups are slow.
+	SlowPrefix string
 	// Port is where the agents of all ranks listen.
 	Port string
 	// Budget is what one change of the map may cost.
--- a/peer/asker.go
+++ b/peer/asker.go
@@ -140,6 +140,7 @@
 		Rev:     n.Rev,
 		Members: n.Members,
 		Lapsed:  n.Lapsed,
+		Paces:   n.Paces,
 	}
 	if len(n.Table) > 0 {
 		t := &plan.Table{}
--- a/peer/server.go
+++ b/peer/server.go
@@ -68,6 +68,7 @@
 		n.Instances = lo.Must(proto.Marshal(s.Instances))
 		n.Members = s.Members
 		n.Lapsed = s.Lapsed
+		n.Paces = s.Paces
 	}
 	if s.Table != nil && s.Table.Version > ask.Table {
 		n.Table = lo.Must(proto.Marshal(s.Table))
--- a/proto/news.go
+++ b/proto/news.go
@@ -1,6 +1,9 @@
 package proto
 
-import "geraniumpass/crash"
+import (
+	"geraniumpass/core"
+	"geraniumpass/crash"
+)
 
 // NewsAsk asks a peer for what it knows beyond revision Rev and table version Table, waiting up to WaitMs for something.
 type NewsAsk struct {
@@ -25,4 +28,6 @@
 	// Ends are the ends of instances that the peer has learned of beyond those asked for, EndsUpTo its number of the last of them.
 	Ends     []crash.End `cbor:"7,keyasint,omitempty"`
 	EndsUpTo int64       `cbor:"8,keyasint,omitempty"`
+	// Paces are the slow instances by group, complete where Newer is set.
+	Paces map[string][]core.Pace `cbor:"9,keyasint,omitempty"`
 }
--- a/route/least.go
+++ b/route/least.go
@@ -9,6 +9,9 @@
 	nearGain = 0.08
 	// openGain is what an idle connection is worth, as a share of an instance's slots.
 	openGain = 0.04
+	// slowCost is the load, as a share of an instance's slots, that each part of its usual time weighs by which an instance is slower: all
+	// instances of a group wait for the slowest that has work.
+	slowCost = 2.0
 )
 
 // Seen is an instance as one entry sees it.
@@ -17,6 +20,8 @@
 	// Load is the requests believed to run and wait there, Slots how many run at once.
 	Load  float64
 	Slots int
+	// Pace is how many times its usual time the instance takes for a step of its group, one or less for an instance that is not slow.
+	Pace float64
 	// Penalty is added for failures seen lately, as a share of the slots.
 	Penalty float64
 	// Near is true for the few instances that this entry prefers, so that its connections to them are used again.
@@ -53,7 +58,7 @@
 }
 
 func (s *Seen) score(domain string) float64 {
-	score := s.Load/float64(max(1, s.Slots)) + s.Penalty
+	score := s.Load/float64(max(1, s.Slots)) + s.Penalty + slowCost*max(0, s.Pace-1)
 	if s.Domain != domain {
 		score += homeGain
 	}
--- a/start/sidecar.go
+++ b/start/sidecar.go
@@ -62,6 +62,8 @@
 		Prefix:  platform.LeadPrefix,
 		Port:    port,
 		Budget:  mapBudget,
+
+		SlowPrefix: platform.PacePrefix,
 	}
 	links := &fasthttp.Server{
 		Handler: func(ctx *fasthttp.RequestCtx) {
--- a/view/change.go
+++ b/view/change.go
@@ -19,4 +19,6 @@
 	// Members are entries of this system by name, with the address of their links; MembersGone have ended.
 	Members     map[string]string
 	MembersGone []string
+	// Paces are the slow instances of each group that the change names; an empty list is of a group that has none any more.
+	Paces map[string][]core.Pace
 }
--- a/view/keeper.go
+++ b/view/keeper.go
@@ -33,6 +33,7 @@
 	book    *fleet.Book
 	table   *plan.Table
 	members map[string]string
+	paces   map[string][]core.Pace
 	rev     int64
 	changed chan struct{}
 	ticking bool
@@ -111,6 +112,7 @@
 		k.log.Info("entry vanished", "instance", id, "kept", k.book.Kept(id), "revision", c.Rev)
 	}
 	k.takeMembers(c)
+	k.takePaces(c)
 	if moved || c.Full || len(c.Put)+len(gone)+len(c.Void) > 0 {
 		k.publish()
 	}
@@ -131,6 +133,7 @@
 		k.log.Info("entries vanished at a peer", "kept", s.Lapsed, "revision", s.Rev)
 	}
 	k.members = maps.Clone(s.Members)
+	k.paces = maps.Clone(s.Paces)
 	k.publish()
 	return true
 }
@@ -169,6 +172,20 @@
 	}
 }
 
+func (k *Keeper) takePaces(c Change) {
+	if c.Full {
+		k.paces = c.Paces
+		return
+	}
+	if len(c.Paces) == 0 {
+		return
+	}
+	next := make(map[string][]core.Pace, len(k.paces)+len(c.Paces))
+	maps.Copy(next, k.paces)
+	maps.Copy(next, c.Paces)
+	k.paces = next
+}
+
 // missing returns the ids in the book that a full list lacks.
 func (k *Keeper) missing(list []core.Instance) []string {
 	listed := make(map[string]bool, len(list))
@@ -219,6 +236,7 @@
 		Instances: list,
 		Members:   k.members,
 		Lapsed:    k.book.Lapsed(),
+		Paces:     k.paces,
 	}).index()
 	forward := s.Rev >= old.Rev && (old.Table == nil || s.Table != nil && s.Table.Version >= old.Table.Version)
 	check.Hold(check.ConfigForward, forward, "snapshot %d follows %d", s.Rev, old.Rev)
--- a/view/snapshot.go
+++ b/view/snapshot.go
@@ -5,6 +5,9 @@
 	"geraniumpass/plan"
 )
 
+// usualPace is that of an instance that nobody says to be slow.
+const usualPace = 1.0
+
 // Snapshot is everything known at one revision of the store; it is never changed once published.
 type Snapshot struct {
 	Rev int64
@@ -14,17 +17,26 @@
 	Members   map[string]string
 	// Lapsed names the instances that are kept although their entry has vanished; they are dropped without a new revision.
 	Lapsed []string
+	// Paces are the slow instances by group.
+	Paces map[string][]core.Pace
 
 	byService map[string][]core.Instance
 	byID      map[string]core.Instance
 	// newest is the latest row of each address, of services that the table names.
 	newest map[string]core.Instance
+	paceOf map[core.Start]float64
 }
 
 func (s *Snapshot) index() *Snapshot {
 	s.byService = make(map[string][]core.Instance)
 	s.byID = make(map[string]core.Instance, len(s.Instances))
 	s.newest = make(map[string]core.Instance, len(s.Instances))
+	s.paceOf = make(map[core.Start]float64)
+	for _, paces := range s.Paces {
+		for _, p := range paces {
+			s.paceOf[p.Start] = p.Pace
+		}
+	}
 	for _, in := range s.Instances {
 		s.byID[in.ID] = in
 		if other, ok := s.newest[in.Address]; s.named(in.Service) && (!ok || in.Rev > other.Rev) {
@@ -55,6 +67,11 @@
 	return next, ok && next.Rev > in.Rev
 }
 
+// Pace returns how many times its usual time an instance takes for a step of its group.
+func (s *Snapshot) Pace(in core.Instance) float64 {
+	return max(usualPace, s.paceOf[in.Start()])
+}
+
 // Instance returns an instance by its id.
 func (s *Snapshot) Instance(id string) (core.Instance, bool) {
 	in, ok := s.byID[id]
--- a/view/view_test.go
+++ b/view/view_test.go
@@ -256,3 +256,38 @@
 		t.Error("the own watch said that the instance is gone, and it is still there")
 	}
 }
+
+// TestPacesGoByGroup has what is known of slow instances replaced group by group by the store, whole by a full read and by a peer's snapshot.
+func TestPacesGoByGroup(t *testing.T) {
+	a, b := core.Instance{ID: "a"}, core.Instance{ID: "b", Born: 7}
+	slow := func(in core.Instance, pace float64) []core.Pace {
+		return []core.Pace{{Start: in.Start(), Pace: pace}}
+	}
+	k := NewKeeper("front-1", clockwork.NewRealClock(), hclog.NewNullLogger())
+	tests := []struct {
+		name  string
+		learn func()
+		a, b  float64
+	}{
+		{"a full read", func() {
+			k.Apply(Change{Rev: 1, Full: true, Paces: map[string][]core.Pace{"g": slow(a, 2), "h": slow(b, 3)}})
+		}, 2, 3},
+		{"one group has none any more", func() { k.Apply(Change{Rev: 2, Paces: map[string][]core.Pace{"g": nil}}) }, 1, 3},
+		{"a change of something else", func() { k.Apply(Change{Rev: 3}) }, 1, 3},
+		{"a peer's snapshot", func() { k.Adopt(&Snapshot{Rev: 9, Paces: map[string][]core.Pace{"g": slow(a, 1.5)}}) }, 1.5, 1},
+		{"an older word of the store", func() { k.Apply(Change{Rev: 4, Paces: map[string][]core.Pace{"g": nil}}) }, 1.5, 1},
+		{"an instance that has started again", func() {
+			a.Born = 9
+			k.Apply(Change{Rev: 10})
+		}, 1, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tt.learn()
+			s := k.Now()
+			if s.Pace(a) != tt.a || s.Pace(b) != tt.b {
+				t.Errorf("paces are %.1f and %.1f, want %.1f and %.1f", s.Pace(a), s.Pace(b), tt.a, tt.b)
+			}
+		})
+	}
+}
