Take the load of an instance not heard of for the mean

Cause: what others have at an instance was forgotten with a half-life of a second, so that one not heard of looked empty; an instance with a queue answers late and is not heard of, and one of 41 entries hears of an engine once in ten seconds. Now the forgotten part is the mean of what is believed of the others.

--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/samber/lo"
+
 	"geraniumpass/check"
 	"geraniumpass/core"
 	"geraniumpass/pool"
@@ -150,17 +152,18 @@
 	r.g.pickMu.Lock()
 	defer r.g.pickMu.Unlock()
 	seen := make([]route.Seen, len(list))
-	for i, in := range list {
-		load, failures := r.g.loads.estimate(in.Start(), now)
+	starts := lo.Map(list, func(in core.Instance, _ int) core.Start { return in.Start() })
+	for i, b := range r.g.loads.beliefs(starts, now) {
+		in := list[i]
 		seen[i] = route.Seen{
 			Domain:  in.Domain,
-			Load:    load,
+			Load:    b.load,
 			Slots:   in.Slots,
 			Near:    near[in.ID],
 			Pace:    snap.Pace(in),
-			Penalty: failures * failurePenalty,
+			Penalty: b.failures * failurePenalty,
 			Open:    r.g.pool.Idle(targetOf(in)) > 0,
-			Barred: failures > barAfter || alive && r.g.loads.silent(in.Start(), now) > silentAfter ||
+			Barred: b.failures > barAfter || alive && r.g.loads.silent(in.Start(), now) > silentAfter ||
 				r.g.ended(snap, in),
 		}
 	}
--- a/gate/loads.go
+++ b/gate/loads.go
@@ -127,21 +127,56 @@
 	}
 }
 
-// estimate returns the load believed at an instance and the weight of its failures.
-func (l *loads) estimate(start core.Start, now time.Time) (float64, float64) {
+// belief is what an entry believes of an instance: its load, and the weight of the failures seen there.
+type belief struct {
+	load     float64
+	failures float64
+}
+
+// beliefs returns what is believed of each of the instances. The load that others put on one is taken from its last word as far as that is
+// believed, and from the mean over all of them for the rest: an instance that has not been heard of for a while, as one whose queue is long,
+// is no emptier than the others.
+func (l *loads) beliefs(starts []core.Start, now time.Time) []belief {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	ld, ok := l.by[start]
-	if !ok {
-		return 0, 0
+	trusted, weight := 0.0, 0.0
+	for _, start := range starts {
+		if ld, ok := l.by[start]; ok {
+			trusted += ld.trust(now) * ld.others()
+			weight += ld.trust(now)
+		}
+	}
+	mean := 0.0
+	if weight > 0 {
+		mean = trusted / weight
+	}
+	out := make([]belief, len(starts))
+	for i, start := range starts {
+		ld, ok := l.by[start]
+		if !ok {
+			out[i].load = mean
+			continue
+		}
+		trust := ld.trust(now)
+		out[i] = belief{
+			load:     float64(ld.own) + trust*ld.others() + (1-trust)*mean,
+			failures: ld.decayed(now),
+		}
+	}
+	return out
+}
+
+// trust is how far the last word of an instance on its load is believed.
+func (ld *load) trust(now time.Time) float64 {
+	if ld.at.IsZero() {
+		return 0
 	}
-	return ld.estimate(now), ld.decayed(now)
+	return math.Exp2(-now.Sub(ld.at).Seconds() / loadMemory.Seconds())
 }
 
-func (ld *load) estimate(now time.Time) float64 {
-	trust := math.Exp2(-now.Sub(ld.at).Seconds() / loadMemory.Seconds())
-	others := max(0, ld.reported-float64(ld.ownReported))
-	return float64(ld.own) + trust*others
+// others is the load that other entries had put on an instance by its last word.
+func (ld *load) others() float64 {
+	return max(0, ld.reported-float64(ld.ownReported))
 }
 
 func (ld *load) decayed(now time.Time) float64 {
