Have servers take requests that can still be answered in time first

What callers saw: in a crowd everybody is late. Cause: engines take requests in order of arrival, and those who come back after a refusal, late whatever happens, stand before those who ask for the first time. Now a request whose caller has less time than others of its route have brought lately, by more than its aim, or who goes on with a cut stream, is told to its server as less urgent. Why it holds: the order is the engine's own, nothing is held back here, and an entry needs to learn nothing of others.

--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -183,6 +183,7 @@
 		Instance:  a.in.ID,
 		Left:      r.until.Sub(r.g.clock.Now()),
 		Account:   r.account,
+		Late:      r.isLate(),
 		LastEvent: r.stream.last,
 	})
 	if len(r.body) > 0 || r.in.Method != http.MethodGet && r.in.Method != http.MethodHead {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -44,6 +44,7 @@
 	loads   *loads
 	pulse   *pulse
 	probes  *probes
+	budgets *budgets
 	hasher  *crash.Hasher
 	ends    *crash.Registry
 	repeats *retry.Window
@@ -79,6 +80,7 @@
 		loads:     newLoads(),
 		pulse:     newPulse(),
 		probes:    newProbes(),
+		budgets:   newBudgets(),
 		hasher:    crash.NewHasher(opts.Key),
 		ends:      ends,
 		repeats:   retry.NewWindow(opts.Allowance, opts.Started),
--- /dev/null
+++ b/gate/lateness_test.go
@@ -0,0 +1,52 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"geraniumpass/plan"
+)
+
+// TestWhoIsLateAlready tells callers that come back from those that ask for the first time by the time that they bring.
+func TestWhoIsLateAlready(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(time.Unix(1_000, 0))
+	g := &Gate{
+		clock:   clock,
+		budgets: newBudgets(),
+	}
+	aim := 400 * time.Millisecond
+	route := &plan.Route{Name: "flow", Aim: aim}
+	tests := []struct {
+		name   string
+		after  time.Duration
+		budget time.Duration
+		last   int64
+		waited time.Duration
+		want   bool
+	}{
+		{"the first caller ever", 0, 6 * time.Second, -1, 0, false},
+		{"one that brings more", 0, 8 * time.Second, -1, 0, false},
+		{"one that was refused just before", 0, 7900 * time.Millisecond, -1, 0, false},
+		{"one that was refused long ago", 0, 5400 * time.Millisecond, -1, 0, true},
+		{"one whose stream was cut", 0, 8 * time.Second, 4, 0, true},
+		{"one that waited here", 0, 8 * time.Second, -1, aim + time.Millisecond, true},
+		{"after callers have come to bring less", 2 * budgetMemory, 5 * time.Second, -1, 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock.Advance(tt.after)
+			r := &request{
+				g:      g,
+				route:  route,
+				came:   clock.Now().Add(-tt.waited),
+				spent:  g.budgets.spent(route.Name, tt.budget, clock.Now()),
+				stream: delivered{last: tt.last},
+			}
+			if got := r.isLate(); got != tt.want {
+				t.Errorf("late: %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/gate/request.go
+++ b/gate/request.go
@@ -28,6 +28,8 @@
 	came time.Time
 	// begun is when the first byte of an upstream's answer came, zero before.
 	begun time.Time
+	// spent is how much of its time the caller had spent before it asked here.
+	spent time.Duration
 	// until is when the final answer is due.
 	until time.Time
 	// firstUntil is when the first event of a stream is due, zero when it has no time of its own; the caller leaves soon after.
--- a/gate/sending.go
+++ b/gate/sending.go
@@ -9,6 +9,8 @@
 	Left time.Duration
 	// Account is the client account's name, empty without one.
 	Account string
+	// Late is true when the answer can't begin in time any more, so that others go first.
+	Late bool
 	// LastEvent is the last event delivered, negative when there is none.
 	LastEvent int64
 }
