Rename by the field's terms, split large files, drop tuning notes from comments

Names: retry.Backoff with minBackoff, outageBackoffFraction, maxOutageBackoff; at the gate retryAfter, failCrashing, isCrashing, silencePoll, firstEventDue, canFailOver, takeRepeat, recordCut, isUnavailable, isAnswering; at groups IsReplaced, newLeaderGrace, heartbeatInterval, dialled addresses' foreignTTL.

--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -16,18 +16,16 @@
 )
 
 const (
-	// maxAnswer bounds an answer that is taken in before it is passed on, in bytes.
-	maxAnswer = 8 << 20
-	// strayAnswers is how many answers to others are passed over in wait for the own one.
-	strayAnswers = 2
+	// maxStrayAnswers is how many answers to others are passed over in wait for the own one.
+	maxStrayAnswers = 2
 	// patienceAims is how many times its aim an idempotent request waits at one instance before another is asked.
 	patienceAims = 2.5
 	// streamPatienceAims is the same for a stream's first event: callers leave after five times the aim, and a queue is no silence.
 	streamPatienceAims = 3.0
-	// stillSilent is how often it is looked again whether other instances answer.
-	stillSilent = 150 * time.Millisecond
-	// leastPatience keeps instances from being left for a usual delay.
-	leastPatience = 200 * time.Millisecond
+	// silencePoll is how often it is looked again whether other instances answer.
+	silencePoll = 150 * time.Millisecond
+	// minPatience keeps instances from being left for a usual delay.
+	minPatience = 200 * time.Millisecond
 )
 
 // attempt is one send of a request to an instance over one connection.
@@ -114,11 +112,11 @@
 		if !errors.As(err, &timeout) || !timeout.Timeout() || !now.Before(r.due()) || r.ctx.Err() != nil {
 			return err
 		}
-		elsewhere := r.route.Kind == plan.KindIdempotent || r.g.pulse.alive(r.service.Name, now) || !a.othersSilent()
-		if elsewhere && r.mayMove() {
+		elsewhere := r.route.Kind == plan.KindIdempotent || r.g.pulse.isAnswering(r.service.Name, now) || !a.othersSilent()
+		if elsewhere && r.canFailOver() {
 			return &SilentError{For: now.Sub(sent)}
 		}
-		patience = stillSilent
+		patience = silencePoll
 	}
 }
 
@@ -138,7 +136,7 @@
 	if !r.route.Repeatable() || r.sends >= r.route.Attempts {
 		return 0
 	}
-	patience := max(time.Duration(patienceAims*float64(r.route.Aim)), leastPatience)
+	patience := max(time.Duration(patienceAims*float64(r.route.Aim)), minPatience)
 	if r.route.Kind == plan.KindStream {
 		patience = r.streamPatience()
 	}
@@ -150,7 +148,7 @@
 
 // streamPatience is how long an upstream may keep a stream of this route waiting before another is asked.
 func (r *request) streamPatience() time.Duration {
-	return max(time.Duration(streamPatienceAims*float64(r.route.Aim)), leastPatience)
+	return max(time.Duration(streamPatienceAims*float64(r.route.Aim)), minPatience)
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -212,7 +210,7 @@
 			return resp, nil
 		}
 		a.r.g.log.Warn("an answer to another request", "id", a.r.call.ID, "instance", a.in.ID, "answers", a.reply.ID, "status", resp.StatusCode)
-		if stray++; stray > strayAnswers || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		if stray++; stray > maxStrayAnswers || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, &StrayError{ID: a.reply.ID}
 		}
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
@@ -220,83 +218,3 @@
 		}
 	}
 }
-
-// streams returns true when the answer is a series of events to be passed on as they come.
-func (a *attempt) streams(resp *http.Response) bool {
-	return a.r.route.Kind == plan.KindStream && a.sound(resp)
-}
-
-// sound returns true for a success that an upstream vouches for.
-func (a *attempt) sound(resp *http.Response) bool {
-	ok := resp.StatusCode >= 200 && resp.StatusCode < 300 && a.reply.Signed && a.reply.ID == a.r.call.ID &&
-		resp.Header.Get("Content-Encoding") == ""
-	if ok {
-		a.r.g.pulse.answered(a.r.service.Name, a.r.g.clock.Now())
-	}
-	return ok
-}
-
-// takeAnswer reads a whole answer and decides what it is worth.
-func (a *attempt) takeAnswer(resp *http.Response) (verdict, int) {
-	body, err := readWhole(resp.Body)
-	if a.reply.NotRun {
-		a.r.reason = "refused_" + strconv.Itoa(resp.StatusCode)
-		if resp.StatusCode == http.StatusMisdirectedRequest {
-			a.r.g.loads.misplaced(a.in.Start())
-		}
-		a.finished = err == nil && a.reusable(resp)
-		return a.gone(verdictNotRun), 0
-	}
-	if err != nil {
-		a.r.reason = "answer_cut"
-		a.cut = isCut(err)
-		a.r.g.log.Debug("no whole answer", "id", a.r.call.ID, "instance", a.in.ID, "status", resp.StatusCode, "error", err)
-		return a.gone(verdictLost), 0
-	}
-	a.finished = a.reusable(resp)
-	if a.r.stream.begun {
-		// Only events can follow the events that the caller has.
-		a.r.reason = "resumed_" + strconv.Itoa(resp.StatusCode)
-		return a.gone(verdictLost), 0
-	}
-	ans := &answer{
-		status: resp.StatusCode,
-		header: resp.Header,
-		body:   body,
-	}
-	switch {
-	case a.sound(resp):
-		return verdictDone, a.r.pass(ans)
-	case !a.reply.Signed, resp.StatusCode < 300, promises(resp.StatusCode):
-		// What nobody vouches for, or what would promise that a request did not run which may have run.
-		a.r.reason = "unsound_" + strconv.Itoa(resp.StatusCode)
-		return a.gone(verdictLost), 0
-	case resp.StatusCode >= 500 && a.r.route.Repeatable() && a.r.sends < a.r.route.Attempts:
-		a.r.failure = ans
-		a.r.reason = "failed_" + strconv.Itoa(resp.StatusCode)
-		return a.gone(verdictFailed), 0
-	}
-	return verdictDone, a.r.pass(ans)
-}
-
-// readWhole reads an answer up to its end and fails with a *LongError when that isn't within the bound: a part must not look whole.
-func readWhole(from io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(from, maxAnswer+1))
-	if err == nil && len(body) > maxAnswer {
-		return nil, &LongError{Limit: maxAnswer}
-	}
-	return body, err
-}
-
-// promises returns true for statuses that tell a caller that its request has not run.
-func promises(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
-func (a *attempt) reusable(resp *http.Response) bool {
-	return !resp.Close && a.conn.Reader.Buffered() == 0
-}
--- a/gate/ends.go
+++ b/gate/ends.go
@@ -24,9 +24,9 @@
 	return !errors.As(err, &stray) && !errors.As(err, &long)
 }
 
-// noteCut looks whether the instance ended with the connection that it cut, and counts that against the request. An instance that was leaving
+// recordCut looks whether the instance ended with the connection that it cut, and counts that against the request. An instance that was leaving
 // ends as planned, and the connections at the other ranks of a broken group are cut while their instances live.
-func (r *request) noteCut(in core.Instance) {
+func (r *request) recordCut(in core.Instance) {
 	row, listed := r.g.view.Now().Instance(in.ID)
 	if !listed || row.Leaving {
 		return
@@ -42,9 +42,9 @@
 		"instance", in.ID, "born", in.Born, "ended", ended)
 }
 
-// endsInstances returns true for a request that must not be sent any more. Its callers send the same one again, at any entry, and each instance
+// isCrashing returns true for a request that must not be sent any more. Its callers send the same one again, at any entry, and each instance
 // that begins it ends and breaks its group, so that nobody else is served either for as long as it comes.
-func (r *request) endsInstances() bool {
+func (r *request) isCrashing() bool {
 	return r.g.ends.Refuses(r.fingerprint())
 }
 
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// leastLeft is the time below which another send can't bring an answer any more.
-	leastLeft = 30 * time.Millisecond
+	// minSendTime is the time below which another send can't bring an answer any more.
+	minSendTime = 30 * time.Millisecond
 	// connectionParts is how many entries more than are known share an instance's connections, for those that come and go.
 	connectionParts = 2
 	// fewestConnections is what an entry may open to an instance however small its part is.
@@ -57,17 +57,17 @@
 		if r.ctx.Err() != nil {
 			return statusGone
 		}
-		if r.due().Sub(r.g.clock.Now()) < leastLeft {
+		if r.due().Sub(r.g.clock.Now()) < minSendTime {
 			break
 		}
-		if r.endsInstances() {
-			return r.giveUpFatal()
+		if r.isCrashing() {
+			return r.failCrashing()
 		}
 		in, ok := r.pick()
 		if !ok {
 			break
 		}
-		if r.sends > 0 && !r.payRepeat() {
+		if r.sends > 0 && !r.takeRepeat() {
 			r.g.loads.end(in.Start())
 			r.reason = "no_repeat_left"
 			break
@@ -103,7 +103,7 @@
 	if r.failure != nil {
 		return r.pass(r.failure)
 	}
-	late := !r.g.clock.Now().Before(r.due().Add(-leastLeft))
+	late := !r.g.clock.Now().Before(r.due().Add(-minSendTime))
 	switch {
 	case r.doubt && late:
 		return r.fail(http.StatusGatewayTimeout, "late")
@@ -113,12 +113,12 @@
 	if r.reason == "" {
 		r.reason = "no_upstream"
 	}
-	return r.refuse(r.reason, r.comeBack())
+	return r.refuse(r.reason, r.retryAfter())
 }
 
-// giveUpFatal ends a request that ends the instances that run it. It has run, at other times if not now, and no time to come back is named:
+// failCrashing ends a request that ends the instances that run it. It has run, at other times if not now, and no time to come back is named:
 // the answer is a failure that promises nothing.
-func (r *request) giveUpFatal() int {
+func (r *request) failCrashing() int {
 	r.g.log.Info("request that ends instances", "id", r.call.ID, "digest", r.fingerprint().String(), "account", r.account)
 	if r.stream.begun {
 		return statusBroken
@@ -126,13 +126,13 @@
 	return r.fail(http.StatusBadGateway, "ends_instances")
 }
 
-// comeBack is when a refused caller should return.
-func (r *request) comeBack() time.Duration {
+// retryAfter is when a refused caller should return.
+func (r *request) retryAfter() time.Duration {
 	now := r.g.clock.Now()
-	return retry.Back(retry.Refusal{
-		Aim:  r.route.Aim,
-		Left: r.until.Sub(now),
-		Dark: r.g.pulse.dark(r.service.Name, now),
+	return retry.Backoff(retry.Refusal{
+		Aim:         r.route.Aim,
+		Left:        r.until.Sub(now),
+		Unavailable: r.g.pulse.isUnavailable(r.service.Name, now),
 	}, r.g.draw)
 }
 
@@ -148,7 +148,7 @@
 	}
 	now := r.g.clock.Now()
 	near := r.g.near(snap, r.service.Name)
-	alive := r.g.pulse.alive(r.service.Name, now)
+	alive := r.g.pulse.isAnswering(r.service.Name, now)
 	r.g.pickMu.Lock()
 	defer r.g.pickMu.Unlock()
 	seen := make([]route.Seen, len(list))
@@ -200,7 +200,7 @@
 	}
 	v, status := a.run()
 	if v == verdictLost && a.cut {
-		r.noteCut(in)
+		r.recordCut(in)
 	}
 	now := r.g.clock.Now()
 	switch v {
--- a/gate/move.go
+++ b/gate/move.go
@@ -2,18 +2,18 @@
 
 import "time"
 
-// mayMove returns true when a request that its upstream keeps waiting may go on at another one, which is paid for then, and has the time to
+// canFailOver returns true when a request that its upstream keeps waiting may go on at another one, which is paid for then, and has the time to
 // begin there. An upstream is left only if so: it may still answer, and nobody else would.
-func (r *request) mayMove() bool {
-	if !r.route.Repeatable() || r.stream.unnumbered || r.sends >= r.route.Attempts || r.due().Sub(r.g.clock.Now()) < r.route.Aim || !r.hasOther() {
+func (r *request) canFailOver() bool {
+	if !r.route.Repeatable() || r.stream.unnumbered || r.sends >= r.route.Attempts || r.due().Sub(r.g.clock.Now()) < r.route.Aim || !r.hasAlternative() {
 		return false
 	}
 	r.paid = r.paid || r.repeat()
 	return r.paid
 }
 
-// hasOther returns true when there is an instance that the request was not sent to and that has not ended.
-func (r *request) hasOther() bool {
+// hasAlternative returns true when there is an instance that the request was not sent to and that has not ended.
+func (r *request) hasAlternative() bool {
 	snap := r.g.view.Now()
 	for _, in := range snap.Usable(r.service.Name) {
 		if !r.tried[in.Start()] && !r.g.ended(snap, in) {
@@ -23,8 +23,8 @@
 	return false
 }
 
-// payRepeat takes one repeat of the allowance, unless it was taken before the last upstream was left.
-func (r *request) payRepeat() bool {
+// takeRepeat takes one repeat of the allowance, unless it was taken before the last upstream was left.
+func (r *request) takeRepeat() bool {
 	paid := r.paid || r.repeat()
 	r.paid = false
 	return paid
@@ -36,5 +36,5 @@
 
 // stalled returns true when the time for a first event is over while nothing of the service answers: that speaks against no instance.
 func (r *request) stalled(now time.Time) bool {
-	return !r.firstUntil.IsZero() && !r.stream.begun && !now.Before(r.firstUntil) && !r.g.pulse.alive(r.service.Name, now)
+	return !r.firstEventDue.IsZero() && !r.stream.begun && !now.Before(r.firstEventDue) && !r.g.pulse.isAnswering(r.service.Name, now)
 }
--- a/gate/move_test.go
+++ b/gate/move_test.go
@@ -18,7 +18,7 @@
 		want     bool
 	}{
 		{"nothing answers", now, false, now.Add(-time.Second), true},
-		{"others answer", now, false, now.Add(-aliveFor / 2), false},
+		{"others answer", now, false, now.Add(-answeringFor / 2), false},
 		{"not due yet", now.Add(time.Millisecond), false, now.Add(-time.Second), false},
 		{"no time of its own", time.Time{}, false, now.Add(-time.Second), false},
 		{"within the stream", now, true, now.Add(-time.Second), false},
@@ -28,10 +28,10 @@
 			g := &Gate{pulse: newPulse()}
 			g.pulse.answered("svc", tt.answered)
 			r := &request{
-				g:          g,
-				service:    &plan.Service{Name: "svc"},
-				firstUntil: tt.due,
-				stream:     delivered{begun: tt.begun},
+				g:             g,
+				service:       &plan.Service{Name: "svc"},
+				firstEventDue: tt.due,
+				stream:        delivered{begun: tt.begun},
 			}
 			if got := r.stalled(now); got != tt.want {
 				t.Errorf("stalled: %v", got)
--- a/gate/near.go
+++ b/gate/near.go
@@ -8,7 +8,7 @@
 	"geraniumpass/view"
 )
 
-// nearMost is how many instances of a service an entry prefers. Each is then sent enough by an entry of today's sizes for connections
+// nearMost is how many instances of a service an entry prefers. Each is then sent enough for connections
 // to be used again before they time out, and some entries prefer each, so that its load stays even.
 const nearMost = 8
 
--- a/gate/pulse.go
+++ b/gate/pulse.go
@@ -6,12 +6,12 @@
 )
 
 const (
-	// darkAfter and darkRefusals say when a service counts as unable to serve: nothing has come from it for longer than four
+	// unavailableAfter and unavailableRefusals say when a service counts as unable to serve: nothing has come from it for longer than four
 	// steps of a group take, and several requests were refused meanwhile.
-	darkAfter    = 400 * time.Millisecond
-	darkRefusals = 3
-	// aliveFor is how long after an answer began a service counts as answering: some four steps of a group.
-	aliveFor = 300 * time.Millisecond
+	unavailableAfter    = 400 * time.Millisecond
+	unavailableRefusals = 3
+	// answeringFor is how long after an answer began a service counts as answering: some four steps of a group.
+	answeringFor = 300 * time.Millisecond
 )
 
 // pulse is whether services answer at all, as this entry sees it: the ranks of a group fail together.
@@ -55,12 +55,12 @@
 	p.get(service).refused++
 }
 
-// dark returns true while a service seems unable to serve anything.
-func (p *pulse) dark(service string, now time.Time) bool {
+// isUnavailable returns true while a service seems unable to serve anything.
+func (p *pulse) isUnavailable(service string, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b := p.get(service)
-	return b.refused >= darkRefusals && now.Sub(b.answered) > darkAfter
+	return b.refused >= unavailableRefusals && now.Sub(b.answered) > unavailableAfter
 }
 
 // since returns how long after a moment a service last began to answer, less than zero when it has not since.
@@ -70,9 +70,9 @@
 	return p.get(service).answered.Sub(t)
 }
 
-// alive returns true when an answer of the service has begun lately.
-func (p *pulse) alive(service string, now time.Time) bool {
+// isAnswering returns true when an answer of the service has begun lately.
+func (p *pulse) isAnswering(service string, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return now.Sub(p.get(service).answered) < aliveFor
+	return now.Sub(p.get(service).answered) < answeringFor
 }
--- a/gate/request.go
+++ b/gate/request.go
@@ -32,8 +32,8 @@
 	spent time.Duration
 	// until is when the final answer is due.
 	until time.Time
-	// firstUntil is when the first event of a stream is due, zero when it has no time of its own; the caller leaves soon after.
-	firstUntil time.Time
+	// firstEventDue is when the first event of a stream is due, zero when it has no time of its own; the caller leaves soon after.
+	firstEventDue time.Time
 
 	// sends counts upstreams that were sent at least a byte, tried names them.
 	sends int
@@ -75,8 +75,8 @@
 
 // due is when the next that the caller waits for has to have come: a stream's first event, or the end of the answer.
 func (r *request) due() time.Time {
-	if r.stream.begun || r.firstUntil.IsZero() {
+	if r.stream.begun || r.firstEventDue.IsZero() {
 		return r.until
 	}
-	return earlier(r.until, r.firstUntil)
+	return earlier(r.until, r.firstEventDue)
 }
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -18,13 +18,12 @@
 	// callerMargin is kept of a caller's own time so that the final answer still reaches it: several delays between caller and entry.
 	callerMargin = 20 * time.Millisecond
 	// firstEventMargin is how long before its caller would leave a stream that has no event yet gets its final answer: several times what a
-	// busy entry takes to wake. A caller who leaves first gets no answer, and a server that stands still can't be told so: in four of
-	// six runs with slow or held ranks and a frozen machine it ran 6 to 20 streams after that, and none in seven with the margin.
+	// busy entry takes to wake. A caller who leaves first gets no answer, and a server that stands still can't be told to stop.
 	firstEventMargin = 100 * time.Millisecond
 	// usualBudget stands in for the time of a route and a caller that both name none.
 	usualBudget = 30 * time.Second
-	// noTableAfter is when a caller comes back to an entry that knows no table yet; one is read within some ms of the store's answer.
-	noTableAfter = 500 * time.Millisecond
+	// noTableBackoff is when a caller comes back to an entry that knows no table yet; one is read within some ms of the store's answer.
+	noTableBackoff = 500 * time.Millisecond
 )
 
 // ServeHTTP answers one request.
@@ -77,7 +76,7 @@
 		r.w.Header().Set("Connection", "close")
 	}
 	if r.snap.Table == nil {
-		return r.refuse("no_table", noTableAfter)
+		return r.refuse("no_table", noTableBackoff)
 	}
 	call, err := r.g.dialect.Read(r.in.Header)
 	if err != nil || !strings.HasPrefix(r.in.RequestURI, "/") {
@@ -93,7 +92,7 @@
 	}
 	r.stream.last = call.LastEvent
 	if r.route.Kind == plan.KindStream && r.route.Patience > firstEventMargin {
-		r.firstUntil = r.g.clock.Now().Add(r.route.Patience - firstEventMargin)
+		r.firstEventDue = r.g.clock.Now().Add(r.route.Patience - firstEventMargin)
 	}
 	return r.exchange()
 }
@@ -121,7 +120,7 @@
 	r.spent = r.g.budgets.spent(r.route.Name, r.call.Budget, r.came)
 	r.service = r.pickService()
 	if r.service == nil {
-		return r.refuse("no_service", noTableAfter)
+		return r.refuse("no_service", noTableBackoff)
 	}
 	return 0
 }
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -104,10 +104,10 @@
 			// A connection tells of a reset only once; after that it would look as if the answer had come to its end.
 			return err
 		}
-		if r.g.pulse.since(r.service.Name, heard) > aliveFor && r.mayMove() {
+		if r.g.pulse.since(r.service.Name, heard) > answeringFor && r.canFailOver() {
 			return &SilentError{For: now.Sub(heard)}
 		}
-		patience = stillSilent
+		patience = silencePoll
 	}
 }
 
--- a/group/agent.go
+++ b/group/agent.go
@@ -32,9 +32,9 @@
 	// slowPace is how many times its usual time an engine takes for a step from which it counts as slow: what batches and long prompts cost
 	// is within the usual time, and one slow rank makes the whole group as slow.
 	slowPace = 1.5
-	// stillAfter is how much longer than asked for a pause lasts after which this process says that its machine stood still: several times
+	// suspendedAfter is how much longer than asked for a pause lasts after which this process says that its machine stood still: several times
 	// what a busy machine keeps a process waiting.
-	stillAfter = time.Second
+	suspendedAfter = time.Second
 	// refusals is how often an engine may refuse an order that its state allows before the leader is told that it doesn't fit.
 	refusals = 3
 )
@@ -119,7 +119,7 @@
 	now := a.Clock.Now()
 	steady := now.Sub(before)
 	daytime := now.Round(0).Sub(before.Round(0))
-	if max(steady, daytime) > wait+stillAfter {
+	if max(steady, daytime) > wait+suspendedAfter {
 		a.Log.Warn("machine stood still, or its time was set", "steady", steady.String(), "daytime", daytime.String())
 	}
 }
--- a/group/change.go
+++ b/group/change.go
@@ -14,8 +14,7 @@
 )
 
 // changeBetween packs what next differs in from base, which has as many sets and ranks and lists experts in rising order, as next does. It
-// takes some four bytes for each expert that a rank takes over: a leader tells every rank all of it, since engines take whole maps, and a
-// map of 12 sets and 64 ranks with 112 copies takes 0.5 KB so and 1.4 KB by whole rows, 0.04 and 0.12 s of a leader's link of 6 Mbit/s.
+// takes some four bytes for each expert that a rank takes over: a leader tells every rank all of it, since engines take whole maps.
 func changeBetween(base, next [][][]int) []byte {
 	var out []byte
 	last := 0
--- a/group/counts.go
+++ b/group/counts.go
@@ -6,7 +6,7 @@
 )
 
 // wholeCounts is up to how many bytes all ranks of a group together tell their counts exactly, 64 ms of a leader's link of 8 Mbit/s. Beyond it
-// they are packed, which costs precision: with 12 ranks it made twice as many switches, and saw the same balance.
+// they are packed, which costs precision: what is rounded looks like a change of popularity.
 const wholeCounts = 64_000
 
 // pack puts what was counted since the last time into a frame; the caller holds mu.
--- a/group/election.go
+++ b/group/election.go
@@ -11,16 +11,16 @@
 )
 
 const (
-	// silence is how long no leader must have been heard before a rank tries to lead; a leader speaks every beatEvery.
+	// silence is how long no leader must have been heard before a rank tries to lead; a leader speaks every heartbeatInterval.
 	silence = 700 * time.Millisecond
-	// newcomer is how long a leader that this rank did not know of is waited for: one that lives tries unknown ranks every dialEvery.
-	newcomer = 2 * dialEvery
+	// newLeaderGrace is how long a leader that this rank did not know of is waited for: one that lives tries unknown ranks every dialEvery.
+	newLeaderGrace = 2 * dialEvery
 	// perRank is how much later each further rank tries, so that they don't all.
 	perRank = 100 * time.Millisecond
 	// campaignEvery is how often the silence is looked at.
 	campaignEvery = 100 * time.Millisecond
-	// campaignPause follows a try that failed.
-	campaignPause = time.Second
+	// campaignBackoff follows a try that failed.
+	campaignBackoff = time.Second
 )
 
 // Elect waits until no leader is heard, takes the lead by a compare-and-swap whose revision is the fence, and leads, until ctx ends.
@@ -36,7 +36,7 @@
 		fence, err := m.campaign(ctx, rep)
 		if err != nil {
 			m.Log.Info("not elected", "group", rep.Group, "error", err)
-			retry.Pause(ctx, campaignPause)
+			retry.Pause(ctx, campaignBackoff)
 			continue
 		}
 		m.lead(ctx, rep, fence)
@@ -86,7 +86,7 @@
 		return false
 	}
 	m.met = fence
-	a.heard = a.Clock.Now().Add(newcomer - silence)
+	a.heard = a.Clock.Now().Add(newLeaderGrace - silence)
 	return true
 }
 
--- a/group/lead.go
+++ b/group/lead.go
@@ -15,19 +15,19 @@
 )
 
 const (
-	// beatEvery is how often a leader lets every rank know that it lives.
-	beatEvery = 150 * time.Millisecond
+	// heartbeatInterval is how often a leader lets every rank know that it lives.
+	heartbeatInterval = 150 * time.Millisecond
 	// tickEvery is how often a leader looks for what is due beside the answers that come in.
 	tickEvery = 25 * time.Millisecond
 	// dialEvery is how often ranks without a link are tried, listEvery how often the instances are read again while one is missing.
 	dialEvery = 250 * time.Millisecond
 	listEvery = 3 * time.Second
-	// foreignTime is how long an address is left alone that belongs to another group; groups are formed anew after a crash only.
-	foreignTime = 5 * time.Second
+	// foreignTTL is how long an address is left alone that belongs to another group; groups are formed anew after a crash only.
+	foreignTTL = 5 * time.Second
 	// demandHalfLife weighs late counts against early ones while popularity stands still, which it does for two to four seconds.
 	demandHalfLife = time.Second
-	// leastSaving is the share of a step's expert part below which a switch is not begun: while one is under way, no other answers a turn of popularity.
-	leastSaving = 0.06
+	// minSaving is the share of a step's expert part below which a switch is not begun: while one is under way, no other answers a turn of popularity.
+	minSaving = 0.06
 	// copyTime is how long the loads of one rank for one switch may take together, if more than one fits: one step.
 	copyTime = 100 * time.Millisecond
 	// planEvery is how often a better map is looked for while none is under way: about once a step; a look takes some ms of a small processor.
@@ -160,7 +160,7 @@
 			d.speak()
 			d.tellSlow()
 		}
-		if d.outdone() {
+		if d.isReplaced() {
 			m.Log.Info("replaced as leader", "group", d.group, "fence", fence)
 			return
 		}
@@ -168,12 +168,12 @@
 	}
 }
 
-// outdone returns true when a later leader has been at a rank, this process's own included.
-func (d *leading) outdone() bool {
+// isReplaced returns true when a later leader has been at a rank, this process's own included.
+func (d *leading) isReplaced() bool {
 	a := d.m.Agent
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.fence > d.leader.Fence || d.leader.Outdone()
+	return a.fence > d.leader.Fence || d.leader.IsReplaced()
 }
 
 func (d *leading) close() {
--- a/group/links.go
+++ b/group/links.go
@@ -27,7 +27,7 @@
 		d.list(ctx)
 	}
 	for _, address := range d.addresses {
-		if d.dialled[address] || now.Sub(d.foreign[address]) < foreignTime {
+		if d.dialled[address] || now.Sub(d.foreign[address]) < foreignTTL {
 			continue
 		}
 		d.dialled[address] = true
@@ -76,7 +76,7 @@
 		return
 	}
 	// The first beat makes the agent tell its state, by which the rank is known.
-	_ = l.Send(d.beatFrame())
+	_ = l.Send(d.heartbeatFrame())
 	_ = l.Receive(func(f *proto.Frame) {
 		if f.RankState != nil {
 			d.post(ctx, event{
@@ -118,19 +118,19 @@
 // speak lets all ranks know that the leader lives.
 func (d *leading) speak() {
 	now := d.m.Clock.Now()
-	if now.Sub(d.beat) < beatEvery {
+	if now.Sub(d.beat) < heartbeatInterval {
 		return
 	}
 	d.beat = now
 	for _, l := range d.links {
 		if l != nil {
-			_ = l.Send(d.beatFrame())
+			_ = l.Send(d.heartbeatFrame())
 		}
 	}
 }
 
-// beatFrame says that the leader lives; it reads nothing that changes.
-func (d *leading) beatFrame() *proto.Frame {
+// heartbeatFrame says that the leader lives; it reads nothing that changes.
+func (d *leading) heartbeatFrame() *proto.Frame {
 	return &proto.Frame{RankOrder: &proto.GroupOrder{
 		Fence: d.leader.Fence,
 		Group: d.group,
--- a/group/maps.go
+++ b/group/maps.go
@@ -9,8 +9,8 @@
 // mapsKept is how many maps a rank remembers: the one in use, the next, and some that were given up.
 const mapsKept = 4
 
-// maps are the newest maps that a rank was told, by which the next one takes what it changes instead of all: a whole map of 12 sets and 64
-// ranks is some 7 KB, and a leader's link of 6 Mbit/s needs 0.6 s for that of all ranks.
+// maps are the newest maps that a rank was told, by which the next one takes what it changes instead of all: whole maps
+// for all ranks of a large group keep a leader's link busy while the group waits.
 type maps struct {
 	versions []int64
 	layouts  [][][][]int
--- a/group/planning.go
+++ b/group/planning.go
@@ -26,7 +26,7 @@
 	next, copies := place.ImproveSets(d.sets, load, d.paces, budget)
 	peak, mean := place.Peak(d.sets, load, d.paces)
 	after, _ := place.Peak(next, load, d.paces)
-	if copies == 0 || peak-after < leastSaving*peak {
+	if copies == 0 || peak-after < minSaving*peak {
 		return
 	}
 	own, _ := d.m.Agent.Report()
--- a/group/send.go
+++ b/group/send.go
@@ -58,7 +58,7 @@
 }
 
 // addMap has a frame carry the next map, by what it changes where the rank knows the one in use. A repeat over the same link carries none:
-// repeats of the maps for 64 ranks took a link of 6 Mbit/s whole, and the orders after them came 0.2 s late.
+// the maps for all ranks of a large group fill a leader's link, and the orders behind them come late.
 func (d *leading) addMap(r int, f *proto.GroupOrder) {
 	switch {
 	case d.told[r] == f.Version:
--- a/retry/back.go
+++ b/retry/back.go
@@ -3,14 +3,14 @@
 import "time"
 
 const (
-	// leastReturn is the soonest that a refused caller is told to return.
-	leastReturn = 50 * time.Millisecond
-	// darkReturnPart is the part of its time after which a caller returns to a service that can't serve: callers heed up to a third.
-	darkReturnPart = 0.33
-	// darkReturnMost bounds it; the outages of groups that the users see last some five seconds.
-	darkReturnMost = 4 * time.Second
-	// spreadParts says how far returns are spread: over a sixth of the wait.
-	spreadParts = 6
+	// minBackoff is the soonest that a refused caller is told to return.
+	minBackoff = 50 * time.Millisecond
+	// outageBackoffFraction is the part of its time after which a caller returns to a service that can't serve: callers heed up to a third.
+	outageBackoffFraction = 0.33
+	// maxOutageBackoff bounds it, so that a caller with much time is back soon after a short outage.
+	maxOutageBackoff = 4 * time.Second
+	// jitterParts says how far returns are spread: over a sixth of the wait.
+	jitterParts = 6
 )
 
 // Refusal is what the return of a refused caller depends on.
@@ -18,17 +18,17 @@
 	// Aim is the time within which its class is to begin, Left what remains of the caller's time.
 	Aim  time.Duration
 	Left time.Duration
-	// Dark is true while the service can't serve anybody.
-	Dark bool
+	// Unavailable is true while the service can't serve anybody.
+	Unavailable bool
 }
 
-// Back returns when a refused caller should come back: to a busy service after about half of its target, to one that can't serve at all as
+// Backoff returns when a refused caller should come back: to a busy service after about half of its target, to one that can't serve at all as
 // late as callers heed. Both are spread by draw, which returns a random number below its argument, so that callers don't return as one.
-func Back(r Refusal, draw func(n int) int) time.Duration {
-	base := max(r.Aim/2, leastReturn)
-	if r.Dark {
-		base = max(base, min(time.Duration(darkReturnPart*float64(r.Left)), darkReturnMost))
-		return base - time.Duration(draw(int(base/spreadParts)+1))
+func Backoff(r Refusal, draw func(n int) int) time.Duration {
+	base := max(r.Aim/2, minBackoff)
+	if r.Unavailable {
+		base = max(base, min(time.Duration(outageBackoffFraction*float64(r.Left)), maxOutageBackoff))
+		return base - time.Duration(draw(int(base/jitterParts)+1))
 	}
 	return base + time.Duration(draw(int(base)))
 }
--- a/retry/back_test.go
+++ b/retry/back_test.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// TestBack gives the soonest and the latest return by draws of nothing and of the most there is.
-func TestBack(t *testing.T) {
+// TestBackoff gives the soonest and the latest return by draws of nothing and of the most there is.
+func TestBackoff(t *testing.T) {
 	least := func(int) int { return 0 }
 	most := func(n int) int { return n - 1 }
 	ms := time.Millisecond
@@ -17,14 +17,14 @@
 		most  time.Duration
 	}{
 		{"busy", Refusal{Aim: 400 * ms, Left: 8 * time.Second}, 200 * ms, 400 * ms},
-		{"busy, no aim", Refusal{Left: 8 * time.Second}, leastReturn, 2 * leastReturn},
-		{"dark, within what callers heed", Refusal{Aim: 400 * ms, Left: 6 * time.Second, Dark: true}, 1650 * ms, 1980 * ms},
-		{"dark, bounded", Refusal{Aim: 400 * ms, Left: time.Minute, Dark: true}, 3333 * ms, darkReturnMost},
-		{"dark, hardly any time left", Refusal{Aim: 400 * ms, Left: 100 * ms, Dark: true}, 166 * ms, 200 * ms},
+		{"busy, no aim", Refusal{Left: 8 * time.Second}, minBackoff, 2 * minBackoff},
+		{"dark, within what callers heed", Refusal{Aim: 400 * ms, Left: 6 * time.Second, Unavailable: true}, 1650 * ms, 1980 * ms},
+		{"dark, bounded", Refusal{Aim: 400 * ms, Left: time.Minute, Unavailable: true}, 3333 * ms, maxOutageBackoff},
+		{"dark, hardly any time left", Refusal{Aim: 400 * ms, Left: 100 * ms, Unavailable: true}, 166 * ms, 200 * ms},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			a, b := Back(tt.r, most), Back(tt.r, least)
+			a, b := Backoff(tt.r, most), Backoff(tt.r, least)
 			if got := min(a, b); got < tt.least-ms || got > tt.least+ms {
 				t.Errorf("soonest %s, want %s", got, tt.least)
 			}
--- a/shift/leader.go
+++ b/shift/leader.go
@@ -27,8 +27,8 @@
 	return max(s.Map, s.Prepared, s.Armed) / versionsPerFence
 }
 
-// Outdone returns true when a rank has a version of a later leader.
-func (l *Leader) Outdone() bool {
+// IsReplaced returns true when a rank has a version of a later leader.
+func (l *Leader) IsReplaced() bool {
 	for _, s := range l.Ranks {
 		if fenceOf(s) > l.Fence {
 			return true
@@ -106,7 +106,7 @@
 // Begin starts a switch of all ranks, with the hold at one of them and so many steps ahead, and returns its version; ok is false while
 // another is under way.
 func (l *Leader) Begin(holder int, ahead int64) (version int64, ok bool) {
-	if l.Phase != PhaseIdle || l.Outdone() {
+	if l.Phase != PhaseIdle || l.IsReplaced() {
 		return 0, false
 	}
 	l.Next++
--- a/shift/margin.go
+++ b/shift/margin.go
@@ -14,9 +14,8 @@
 )
 
 // Margin learns how many steps ahead a hold has to lie so that all ranks are armed, and the hold let go, before the group comes to it. A hold that
-// is too near stops every stream of the group; each step that it is too far makes a switch later by that step. In a group of 72 ranks, whose
-// steps take nearly as long as a stream may pause, holds on the next step made 16 in 100 streams late in two of four plays of a
-// calm day, and learned ones 1 in 100 at most in each of four. Its zero value has seen nothing.
+// is too near stops every stream of the group; each step that it is too far makes a switch later by that step. Its zero
+// value has seen nothing.
 type Margin struct {
 	// spans are how long the newest switches took from the order to hold to the end of the hold.
 	spans []time.Duration
--- a/view/follow.go
+++ b/view/follow.go
@@ -17,9 +17,8 @@
 	watchLeast = 700 * time.Millisecond
 	watchMost  = 4 * time.Second
 	// gather is how long after a change the next one is waited for elsewhere than at the store: changes that come together cost one call.
-	// Among many members most wait longer, by gatherEach a member and gatherMost at most: the first to ask anew tell the others. While 192
-	// instances begin one after the other, 99 entries make some 200 calls a second so, and 660 if all wait alike; what has to be known in two
-	// seconds still is where no other entry can be heard.
+	// Among many members most wait longer, by gatherEach a member and gatherMost at most: the first to ask anew tell the others. The bound keeps what
+	// has to be known in two seconds known where no other entry can be heard.
 	gather     = 150 * time.Millisecond
 	gatherEach = 10 * time.Millisecond
 	gatherMost = time.Second
