Take a rank's pace for usual until it counts as slow

Suspected, not shown: ranks say to be a little slower while they load experts, so that maps would follow the copies that they are made by.

--- a/group/lead.go
+++ b/group/lead.go
@@ -67,8 +67,10 @@
 	// foreign is when an address was found to be of another group.
 	foreign map[string]time.Time
 	known   []bool
-	// paces is how many times its usual time each rank takes for a step.
-	paces []float64
+	// reported is how many times its usual time each rank says that it takes for a step, paces the same where it counts as slow: ranks take
+	// a little longer while they load experts, and maps must not follow the copies that they are made by.
+	reported []float64
+	paces    []float64
 	// starts are the instances behind the ranks, instances those behind the agents' addresses.
 	starts    []core.Start
 	instances map[string]core.Start
@@ -127,6 +129,7 @@
 		rankOf:   make(map[*wire.Link]int),
 		foreign:  make(map[string]time.Time),
 		known:    make([]bool, rep.Size),
+		reported: slices.Repeat([]float64{usualPace}, rep.Size),
 		paces:    slices.Repeat([]float64{usualPace}, rep.Size),
 		starts:   make([]core.Start, rep.Size),
 		slow:     newSlowRanks(m.Store, m.SlowPrefix+rep.Group, m.Log),
@@ -205,7 +208,7 @@
 		d.prepared[r], d.has[r], d.told[r] = shift.None, shift.None, shift.None
 	}
 	d.known[r] = true
-	d.paces[r] = paceOf(rank)
+	d.reported[r] = paceOf(rank)
 	d.starts[r] = d.instances[e.address]
 	if chosen := chosenOf(rank); len(chosen) > 0 {
 		d.demand.Observe(d.m.Clock.Now(), chosen, rank.Unit)
@@ -254,16 +257,22 @@
 	return max(usualPace, r.Pace)
 }
 
-// tellSlow has the store hold which ranks are slow.
+// tellSlow finds out which ranks are slow and has the store hold them.
 func (d *leading) tellSlow() {
 	var paces []core.Pace
 	for r, start := range d.starts {
 		if start.ID != "" {
 			paces = append(paces, core.Pace{
 				Start: start,
-				Pace:  d.paces[r],
+				Pace:  d.reported[r],
 			})
 		}
 	}
 	d.slow.see(paces)
+	for r, start := range d.starts {
+		d.paces[r] = usualPace
+		if d.slow.isSlow(start) {
+			d.paces[r] = d.reported[r]
+		}
+	}
 }
--- a/group/slow.go
+++ b/group/slow.go
@@ -70,6 +70,11 @@
 	s.news <- now
 }
 
+// isSlow returns whether a rank counts as slow by what was seen last.
+func (s *slowRanks) isSlow(start core.Start) bool {
+	return s.slow[start]
+}
+
 // run writes until ctx ends. What an earlier leader has left in the store is taken back first.
 func (s *slowRanks) run(ctx context.Context) {
 	revision := int64(0)
