Bound what a caller's own time says of others

Found by reading: a caller that names no time counted as late, and one that brings more than its route allows made all others count as late for 30 s. Neither is taken for the time of first tries any more. TestWhoIsLateAlready has rows for both, which fail with the two guards taken out.

--- a/gate/lateness.go
+++ b/gate/lateness.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"geraniumpass/plan"
 )
 
 // budgetMemory is how long the longest time that callers of a route have brought is remembered.
@@ -24,14 +26,21 @@
 	return &budgets{by: make(map[string]*longest)}
 }
 
-// spent returns how much of its time a caller with a budget has spent before it asked here.
-func (b *budgets) spent(route string, budget time.Duration, now time.Time) time.Duration {
+// spent returns how much of its time a caller with a budget has spent before it asked here, zero where it names none. No caller makes others late
+// by bringing more than its route allows.
+func (b *budgets) spent(route *plan.Route, budget time.Duration, now time.Time) time.Duration {
+	if budget <= 0 {
+		return 0
+	}
+	if route.Timeout > 0 {
+		budget = min(budget, route.Timeout)
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	l := b.by[route]
+	l := b.by[route.Name]
 	if l == nil {
 		l = &longest{}
-		b.by[route] = l
+		b.by[route.Name] = l
 	}
 	if budget >= l.budget || now.Sub(l.at) > budgetMemory {
 		l.budget, l.at = budget, now
--- a/gate/lateness_test.go
+++ b/gate/lateness_test.go
@@ -17,7 +17,7 @@
 		budgets: newBudgets(),
 	}
 	aim := 400 * time.Millisecond
-	route := &plan.Route{Name: "flow", Aim: aim}
+	route := &plan.Route{Name: "flow", Aim: aim, Timeout: 8 * time.Second}
 	tests := []struct {
 		name   string
 		after  time.Duration
@@ -28,6 +28,9 @@
 	}{
 		{"the first caller ever", 0, 6 * time.Second, -1, 0, false},
 		{"one that brings more", 0, 8 * time.Second, -1, 0, false},
+		{"one that names no time", 0, 0, -1, 0, false},
+		{"one that brings more than its route allows", 0, time.Minute, -1, 0, false},
+		{"one that brings what the route allows, after it", 0, 8 * time.Second, -1, 0, false},
 		{"one that was refused just before", 0, 7900 * time.Millisecond, -1, 0, false},
 		{"one that was refused long ago", 0, 5400 * time.Millisecond, -1, 0, true},
 		{"one whose stream was cut", 0, 8 * time.Second, 4, 0, true},
@@ -41,7 +44,7 @@
 				g:      g,
 				route:  route,
 				came:   clock.Now().Add(-tt.waited),
-				spent:  g.budgets.spent(route.Name, tt.budget, clock.Now()),
+				spent:  g.budgets.spent(route, tt.budget, clock.Now()),
 				stream: delivered{last: tt.last},
 			}
 			if got := r.isLate(); got != tt.want {
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -117,7 +117,7 @@
 		limit = min(limit, r.call.Budget-callerMargin)
 	}
 	r.until = r.came.Add(limit)
-	r.spent = r.g.budgets.spent(r.route.Name, r.call.Budget, r.came)
+	r.spent = r.g.budgets.spent(r.route, r.call.Budget, r.came)
 	r.service = r.pickService()
 	if r.service == nil {
 		return r.refuse("no_service", noTableBackoff)
