Count a failure that is passed on against its instance

Seen: with two instances, one of which answers every call with a failure, 40 of 40 callers whose requests may not be repeated got that failure, and none went to the sound one.

Cause: an answer that is passed on ended the request, and was counted as work done whatever its status. A failure that may be repeated was counted (0.3) before the next try; one that may not was halving what spoke against the instance, and the open connection, which is preferred, brought the next call to the same instance. Ruled out: the choice itself (the same requests on an idempotent route fail for nobody, since each is tried elsewhere).

Why it works: an answer of 500 or more weighs 0.3 whether it is repeated or passed on, so that one failure is enough for an equally loaded neighbour to go first. TestFailedCallsCountAgainstTheirInstance fails before (40 of 40 callers) and passes now.

--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -205,7 +205,7 @@
 	now := r.g.clock.Now()
 	switch v {
 	case verdictDone:
-		r.g.loads.worked(in.Start(), now)
+		r.judge(in, status, now)
 		if status >= 200 && status < 300 {
 			r.g.ends.Whole(r.fingerprint())
 		}
@@ -224,6 +224,16 @@
 	return v, status
 }
 
+// judge notes what an answer that the caller has got says of its instance. A failure that is passed on, as the request may not be repeated, is
+// one all the same.
+func (r *request) judge(in core.Instance, status int, now time.Time) {
+	if status >= http.StatusInternalServerError {
+		r.g.loads.failed(in.Start(), failureWeight, now)
+		return
+	}
+	r.g.loads.worked(in.Start(), now)
+}
+
 // targetOf returns where connections to the present start of an instance go.
 func targetOf(in core.Instance) pool.Target {
 	return pool.Target{
