Ask the ranks of a group that is not whole with pauses

Cause: a closed rank answers a question at once, its answer cleared the order as sent, and the leader, which needs all ranks open, asked it again with the next event. askEvery bounded rounds of questions, not questions to one rank.

Why it works: a closed rank is asked once in askEvery (50 ms); one whose own report says that it has opened is asked at once, so that a group that forms waits for nothing.

--- a/group/send.go
+++ b/group/send.go
@@ -10,7 +10,8 @@
 const (
 	// repeatAfter is when an order without an answer is given again, by a few bytes: a rank keeps what it was told over a link that lives.
 	repeatAfter = 200 * time.Millisecond
-	// askEvery is the least time between two rounds of questions to all ranks: one that can't go on must not keep all of them busy.
+	// askEvery is the least time between two rounds of questions to all ranks, and between two to a rank that is closed: one that can't go on
+	// must not keep all of them busy.
 	askEvery = 50 * time.Millisecond
 )
 
@@ -20,7 +21,7 @@
 		return
 	}
 	for r, o := range d.leader.Orders() {
-		if o.Op == 0 || d.links[r] == nil || o == d.sent[r] && now.Sub(d.sentAt[r]) < repeatAfter {
+		if o.Op == 0 || d.links[r] == nil || !d.isDue(r, o, now) {
 			continue
 		}
 		if o != d.sent[r] {
@@ -34,6 +35,17 @@
 	}
 }
 
+// isDue returns true when an order has to go to a rank now, for the first time or once more. The ranks of a group that is not whole answer at
+// once that they are closed: without a pause they would be asked as fast as they answer, for as long as a rank is missing.
+func (d *leading) isDue(r int, o shift.Order, now time.Time) bool {
+	since := now.Sub(d.sentAt[r])
+	if o == d.sent[r] {
+		return since >= repeatAfter
+	}
+	isClosed := o.Op == shift.OpAsk && !d.leader.Ranks[r].Open
+	return !isClosed || since >= askEvery
+}
+
 // knows returns true when a rank can put the next map together from the one in use.
 func (d *leading) knows(r int) bool {
 	return d.inUse != shift.None && d.has[r] == d.inUse
