Have lost orders count for five seconds in the distance of holds

Cause: Margin goes by the longest of the last 16 switches, with no regard to when they were. Ruled out: the agents' own doubt, which lasts five seconds and asks for three steps.

Why it works: a switch counts for those five seconds, the newest four always. TestMarginForgetsLostOrders has two steps ahead after five seconds, five without the bound; the bound is the agents' own (lossyTime), not what was measured. TestHoldsThatStopNobody and its quantiles pass as they were.

--- a/group/phases.go
+++ b/group/phases.go
@@ -74,7 +74,7 @@
 	held := time.Duration(0)
 	if !d.heldFrom.IsZero() {
 		held = now.Sub(d.heldFrom)
-		d.margin.Switched(held)
+		d.margin.Switched(now, held)
 	}
 	d.heldFrom = time.Time{}
 	d.m.Log.Info("map switched", "group", d.group, "version", d.leader.Version, "step", d.leader.Step, "copies", d.copies, "held", held.String())
--- a/group/planning.go
+++ b/group/planning.go
@@ -30,7 +30,7 @@
 		return
 	}
 	own, _ := d.m.Agent.Report()
-	ahead := d.margin.Ahead()
+	ahead := d.margin.Ahead(now)
 	version, ok := d.leader.Begin(own.Rank, ahead)
 	if !ok {
 		return
--- a/shift/margin_test.go
+++ b/shift/margin_test.go
@@ -38,7 +38,7 @@
 		}
 		ahead := fixed
 		if ahead == 0 {
-			ahead = m.Ahead()
+			ahead = m.Ahead(now)
 		}
 		// The order finds the group anywhere within a step.
 		left := time.Duration(ahead)*a.step - time.Duration(random.Int64N(int64(a.step)))
@@ -46,7 +46,7 @@
 			stalls = append(stalls, max(0, took-left))
 			waits = append(waits, max(0, left-took))
 		}
-		m.Switched(took)
+		m.Switched(now, took)
 	}
 	slices.Sort(stalls)
 	slices.Sort(waits)
@@ -97,7 +97,7 @@
 func TestMarginFollowsWhatItSees(t *testing.T) {
 	now := time.Unix(0, 0)
 	m := &Margin{}
-	if got := m.Ahead(); got != AheadLossy {
+	if got := m.Ahead(now); got != AheadLossy {
 		t.Errorf("%d steps ahead before anything was seen, want %d", got, AheadLossy)
 	}
 	for i := range int64(50) {
@@ -116,9 +116,9 @@
 	}
 	for _, tt := range tests {
 		for _, s := range tt.spans {
-			m.Switched(s)
+			m.Switched(now, s)
 		}
-		if got := m.Ahead(); got != tt.want {
+		if got := m.Ahead(now); got != tt.want {
 			t.Errorf("%s: %d steps ahead, want %d", tt.name, got, tt.want)
 		}
 	}
@@ -128,7 +128,7 @@
 func TestMarginPassesOverIdleTimesAndNewEpochs(t *testing.T) {
 	now := time.Unix(0, 0)
 	m := &Margin{}
-	m.Switched(100 * time.Millisecond)
+	m.Switched(now, 100*time.Millisecond)
 	step := int64(0)
 	play := func(steps int) {
 		for range steps {
@@ -138,7 +138,7 @@
 		}
 	}
 	play(50)
-	want := m.Ahead()
+	want := m.Ahead(now)
 	for range 100 {
 		now = now.Add(100 * time.Millisecond)
 		m.Stepped(now, step)
@@ -146,7 +146,50 @@
 	play(50)
 	step = 0
 	play(50)
-	if got := m.Ahead(); got != want {
+	if got := m.Ahead(now); got != want {
 		t.Errorf("%d steps ahead after a rest and a new epoch, want %d as before", got, want)
 	}
 }
+
+// TestMarginForgetsLostOrders guards against switches that go on as if orders were still lost: each step that a hold lies too far ahead is one
+// more on a map that doesn't fit. Lost orders are expected for as long as the agents expect them, five seconds.
+func TestMarginForgetsLostOrders(t *testing.T) {
+	const (
+		step   = 80 * time.Millisecond
+		usual  = 40 * time.Millisecond
+		lossy  = 250 * time.Millisecond
+		expect = 5 * time.Second
+	)
+	tests := []struct {
+		name  string
+		every time.Duration
+	}{
+		{"two switches a second", 500 * time.Millisecond},
+		{"a switch a second", time.Second},
+		{"a switch every 1.2 seconds", 1200 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.Unix(0, 0)
+			m := &Margin{}
+			begun := int64(0)
+			play := func(took, lasts time.Duration) {
+				for end := now.Add(lasts); now.Before(end); {
+					for next := now.Add(tt.every); now.Before(next); now = now.Add(step) {
+						begun++
+						m.Stepped(now, begun)
+					}
+					m.Switched(now, took)
+				}
+			}
+			play(lossy, 10*time.Second)
+			if got := m.Ahead(now); got < 4 {
+				t.Errorf("%d steps ahead while orders are lost, want 4 at least", got)
+			}
+			play(usual, expect)
+			if got := m.Ahead(now.Add(step)); got != 2 {
+				t.Errorf("%d steps ahead %v after orders were lost, want 2", got, expect)
+			}
+		})
+	}
+}
