Take the time that a dispatch waited in its link off what remains for it

What callers saw: on the product's own interface, work for callers who had gone: an agent whose machine stood still gave each dispatch that had waited in its link the whole time anew, and a call that may not be repeated ran after its caller had been told that its end is unknown.

Cause: a dispatch says how much time remains, and nothing of when it was sent. Ruled out: moments by the time of day, which jump and differ between machines; the length of the standstill as the agent sees it, which depends on which of its goroutines wakes first, and doesn't tell what was sent just before the end.

Why it works: the clocks of two processes go equally fast, so that the quickest message of a link measures the others; heartbeats keep the measure fresh. A dispatch without time left is refused as not run, which is true.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -37,6 +37,7 @@
 	config   *config.Holder
 	upstream Upstream
 	sessions *sessions
+	transits *transits
 	runs     *runs
 	rank     *rank
 	app      *fiber.App
@@ -94,6 +95,7 @@
 		config:   config.NewHolder(clock),
 		upstream: up,
 		sessions: newSessions(),
+		transits: newTransits(clock.Now()),
 		runs:     newRuns(),
 		queue:    queue.New(),
 		waiting:  make(map[uint64]*run),
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -38,6 +38,7 @@
 		defer a.sessions.remove(l)
 	}
 	a.log.Debug("link opened", "entry", l.Peer.ID)
+	defer a.transits.forget(l)
 	err := l.Receive(func(f *proto.Frame) { a.receive(l, f) })
 	a.log.Debug("link ended", "entry", l.Peer.ID, "error", err)
 }
@@ -51,6 +52,7 @@
 	}
 	switch {
 	case f.Dispatch != nil:
+		a.age(l, f.Dispatch)
 		a.dispatch(key(f.Dispatch.N), f.Dispatch)
 	case f.Cancel != nil:
 		a.cancel(key(f.Cancel.N))
@@ -72,6 +74,7 @@
 }
 
 func (a *Agent) heartbeat(l *wire.Link, h *proto.Heartbeat) {
+	a.transits.took(l, h.Sent, a.clock.Now())
 	a.ledger.Settle(sessionOf(l), h.Floor)
 	a.sessions.settle(sessionOf(l), h.Floor)
 	if h.Heard {
--- a/agent/work.go
+++ b/agent/work.go
@@ -8,6 +8,7 @@
 	"geraniumpass/ledger"
 	"geraniumpass/proto"
 	"geraniumpass/queue"
+	"geraniumpass/wire"
 )
 
 // leaveGrace is the time after which a leaving upstream must not be given anything new.
@@ -44,10 +45,23 @@
 			a.refuse(key, d.ClaimKey, core.OutcomeNotRun, core.ReasonLeaving, 0)
 			return
 		}
+		if d.Remaining <= 0 && a.ledger.Cancel(key) {
+			a.runs.remove(key)
+			a.refuse(key, d.ClaimKey, core.OutcomeNotRun, core.ReasonDeadline, 0)
+			return
+		}
 		a.enqueue(r)
 	}
 }
 
+// age takes the time that a dispatch was on its way from what remains for it: its entry counts from when it was sent, and tells its caller that
+// the request's end is unknown once that is over.
+func (a *Agent) age(l *wire.Link, d *proto.Dispatch) {
+	took := a.transits.took(l, d.Sent, a.clock.Now())
+	d.Remaining -= took
+	d.TargetLeft -= took
+}
+
 func (a *Agent) attach(key, holder ledger.Key) {
 	r := a.runs.get(holder)
 	if r == nil {
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -231,7 +231,7 @@
 			reason:  core.ReasonClaimLost,
 		}
 	}
-	d := r.dispatch(e.clock.Now())
+	d := r.dispatch(e.clock.Now(), e.sinceStart())
 	d.Incarnation = held.Incarnation
 	d.ClaimKey = key
 	d.ClaimDigest = held.Digest
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -35,9 +35,11 @@
 
 // Entry is the process between callers and agents.
 type Entry struct {
-	cfg    *setup.Entry
-	log    hclog.Logger
-	clock  clockwork.Clock
+	cfg   *setup.Entry
+	log   hclog.Logger
+	clock clockwork.Clock
+	// begun is when this process started.
+	begun  time.Time
 	self   wire.Identity
 	store  store.Store
 	list   Lister
@@ -90,6 +92,7 @@
 		cfg:   cfg,
 		log:   log.With("entry", cfg.ID),
 		clock: clock,
+		begun: clock.Now(),
 		self: wire.Identity{
 			ID:          cfg.ID,
 			Role:        cfg.Role,
@@ -180,3 +183,8 @@
 func random() *rand.Rand {
 	return rand.New(sharedSource{})
 }
+
+// sinceStart is the time on the steady clock that messages say they were sent at.
+func (e *Entry) sinceStart() time.Duration {
+	return e.clock.Since(e.begun)
+}
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -48,6 +48,7 @@
 		Revision: p.e.config.Document().Revision,
 		Leaving:  p.listLeaving,
 		Heard:    p.report != nil && p.report.Leaving,
+		Sent:     p.e.sinceStart(),
 	}
 }
 
--- a/entry/request.go
+++ b/entry/request.go
@@ -46,7 +46,7 @@
 }
 
 // dispatch returns the message of the next attempt.
-func (r *request) dispatch(now time.Time) *proto.Dispatch {
+func (r *request) dispatch(now time.Time, sent time.Duration) *proto.Dispatch {
 	return &proto.Dispatch{
 		Request:    r.id,
 		Account:    r.account,
@@ -62,6 +62,7 @@
 		ResumeFrom: r.delivered,
 		Cost:       r.cost,
 		Within:     r.class.Target.Within.Duration,
+		Sent:       sent,
 	}
 }
 
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -68,7 +68,7 @@
 			e.clock.Sleep(wait.NextBackOff())
 			continue
 		}
-		res := e.try(r, p, r.dispatch(e.clock.Now()), out)
+		res := e.try(r, p, r.dispatch(e.clock.Now(), e.sinceStart()), out)
 		switch res.outcome {
 		case attemptWhole:
 			return nil
--- a/proto/control.go
+++ b/proto/control.go
@@ -1,5 +1,7 @@
 package proto
 
+import "time"
+
 // ClassLoad is what waits in an agent's queue for one class.
 type ClassLoad struct {
 	Class string  `cbor:"1,keyasint"`
@@ -32,6 +34,8 @@
 	Heard bool `cbor:"5,keyasint,omitempty"`
 	// First asks for the part of the report that never changes.
 	First bool `cbor:"4,keyasint,omitempty"`
+	// Sent is when this was sent, as in Dispatch.
+	Sent time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // Drain orders an agent to leave.
--- a/proto/dispatch.go
+++ b/proto/dispatch.go
@@ -27,4 +27,6 @@
 	Within time.Duration `cbor:"19,keyasint,omitempty"`
 	// ClaimFor is how long the claim and its answer must be kept.
 	ClaimFor time.Duration `cbor:"18,keyasint,omitempty"`
+	// Sent is when this was sent on the sender's steady clock, from a moment of its own; zero where it doesn't say.
+	Sent time.Duration `cbor:"20,keyasint,omitempty"`
 }
