Say when an instance loses its requests and when it answers again

What operators saw of an instance that loses every request was a line "no answer" each, at debug level; the choices that were traced for the starts under one id had to be written out in a scratch copy. An answer that ends whole counts as one that begins does: a stream that ran through the losses would have kept the instance barred.

--- a/gate/answering.go
+++ b/gate/answering.go
@@ -23,7 +23,7 @@
 	if ok {
 		a.sound = true
 		a.r.g.pulse.answered(a.r.service.Name, a.r.g.clock.Now())
-		a.r.g.loads.answers(a.in.Start())
+		a.r.g.answers(a.in)
 	}
 	return ok
 }
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -175,7 +175,21 @@
 		a.r.g.loads.failed(a.in.Start(), lostWeight, now)
 		return
 	}
-	a.r.g.loads.lost(a.in.Start(), now)
+	a.r.g.lose(a.in, now)
+}
+
+// lose notes that an instance lost a request.
+func (g *Gate) lose(in core.Instance, now time.Time) {
+	if g.loads.lost(in.Start(), now) {
+		g.log.Warn("instance loses its requests", "instance", in.ID, "born", in.Born, "service", in.Service)
+	}
+}
+
+// answers notes that an instance has begun a sound answer, or ended one that it began before others were lost.
+func (g *Gate) answers(in core.Instance) {
+	if g.loads.answers(in.Start()) {
+		g.log.Info("instance answers again", "instance", in.ID, "born", in.Born, "service", in.Service)
+	}
 }
 
 func (a *attempt) gone(v verdict) verdict {
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -186,7 +186,7 @@
 	if err != nil {
 		var full *pool.FullError
 		if !errors.As(err, &full) && r.ctx.Err() == nil {
-			r.g.loads.lost(in.Start(), r.g.clock.Now())
+			r.g.lose(in, r.g.clock.Now())
 		}
 		r.g.log.Debug("no connection", "id", r.call.ID, "instance", in.ID, "error", err)
 		r.reason = "no_connection"
@@ -232,6 +232,7 @@
 		return
 	}
 	r.g.loads.worked(in.Start(), now)
+	r.g.answers(in)
 }
 
 // targetOf returns where connections to the present start of an instance go.
--- a/gate/failing_test.go
+++ b/gate/failing_test.go
@@ -96,3 +96,26 @@
 		t.Error("no instance is left")
 	}
 }
+
+// TestFailingInstanceIsToldOnce guards against a log line for each request that a failing instance loses.
+func TestFailingInstanceIsToldOnce(t *testing.T) {
+	l := newLoads()
+	start := core.Start{ID: "i-0"}
+	now := time.Unix(1_000, 0)
+	told, over := 0, 0
+	for range 2 {
+		for range 5 {
+			if l.lost(start, now) {
+				told++
+			}
+		}
+		for range 3 {
+			if l.answers(start) {
+				over++
+			}
+		}
+	}
+	if told != 2 || over != 2 {
+		t.Errorf("told %d times that it fails and %d times that it answers again, want twice each", told, over)
+	}
+}
--- a/gate/loads.go
+++ b/gate/loads.go
@@ -123,21 +123,26 @@
 	ld.failedAt = now
 }
 
-// lost notes that an instance took a request, or the connection for one, and gave no answer.
-func (l *loads) lost(start core.Start, now time.Time) {
+// lost notes that an instance took a request, or the connection for one, and gave no answer; it returns true when the instance counts as failing
+// from now on.
+func (l *loads) lost(start core.Start, now time.Time) bool {
 	l.failed(start, lostWeight, now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	ld := l.get(start)
 	ld.lost++
 	ld.lostAt = now
+	return ld.lost == failingAfter
 }
 
-// answers notes that an instance has begun a sound answer.
-func (l *loads) answers(start core.Start) {
+// answers notes that an instance has begun a sound answer; it returns true when the instance counted as failing.
+func (l *loads) answers(start core.Start) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.get(start).lost = 0
+	ld := l.get(start)
+	wasFailing := ld.lost >= failingAfter
+	ld.lost = 0
+	return wasFailing
 }
 
 // worked notes a whole answer of an instance.
