Tell whether an answer is sound apart from noting it

isSound read like a question and noted that the service and its instance answer. Lines moved, nothing else: noteSound is called where the answer is taken, once a stream or a whole answer.

--- a/gate/answering.go
+++ b/gate/answering.go
@@ -18,14 +18,15 @@
 
 // isSound returns true for a success that an upstream vouches for.
 func (a *attempt) isSound(resp *http.Response) bool {
-	ok := resp.StatusCode >= 200 && resp.StatusCode < 300 && a.reply.Signed && a.reply.ID == a.r.call.ID &&
+	return resp.StatusCode >= 200 && resp.StatusCode < 300 && a.reply.Signed && a.reply.ID == a.r.call.ID &&
 		resp.Header.Get("Content-Encoding") == ""
-	if ok {
-		a.sound = true
-		a.r.g.pulse.answered(a.r.service.Name, a.r.g.clock.Now())
-		a.r.g.answers(a.in)
-	}
-	return ok
+}
+
+// noteSound notes that the instance answers, and its service with it.
+func (a *attempt) noteSound() {
+	a.sound = true
+	a.r.g.pulse.answered(a.r.service.Name, a.r.g.clock.Now())
+	a.r.g.answers(a.in)
 }
 
 // takeAnswer reads a whole answer and decides what it is worth.
@@ -58,6 +59,7 @@
 	}
 	switch {
 	case a.isSound(resp):
+		a.noteSound()
 		return verdictDone, a.r.pass(ans)
 	case !a.reply.Signed, resp.StatusCode < 300, promises(resp.StatusCode):
 		// What nobody vouches for, or what would promise that a request did not run which may have run.
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -88,6 +88,7 @@
 		a.r.g.loads.report(a.in.Start(), a.reply.Running, a.reply.Waiting, a.r.g.clock.Now())
 	}
 	if a.streams(resp) {
+		a.noteSound()
 		return a.passStream(resp)
 	}
 	return a.takeAnswer(resp)
