--- a/gate/loads.go
+++ b/gate/loads.go
@@ -202,6 +202,11 @@
 	return out
 }
 
+// isBarred returns true when an instance is taken only while there is no other.
+func (l *loads) isBarred(start core.Start, now time.Time) bool {
+	return l.beliefs([]core.Start{start}, now)[0].isBarred()
+}
+
 // trust is how far the last word of an instance on its load is believed.
 func (ld *load) trust(now time.Time) float64 {
 	if ld.at.IsZero() {
