--- a/shift/margin.go
+++ b/shift/margin.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// spansKept is how many switches Margin remembers at most: the longest of them bounds 15 in 16 of those to come.
+	// spansKept is how many switches Margin remembers at most: the longest of them bounds nearly all of those to come.
 	spansKept = 16
 	// spansLeast is how many it remembers however old they are, for groups that switch seldom.
 	spansLeast = 4
