--- a/gate/answering.go
+++ b/gate/answering.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"geraniumpass/plan"
 )
@@ -29,6 +30,18 @@
 	a.r.g.answers(a.in)
 }
 
+// noteStatements takes what the instance states of itself in an answer to a request sent at a time.
+func (a *attempt) noteStatements(sent time.Time) {
+	g := a.r.g
+	if a.reply.Invalid != nil {
+		if g.loads.isNewInvalid(a.in.Start(), a.reply.Invalid) {
+			g.log.Warn("statement of an instance can't be understood", "instance", a.in.ID, "born", a.in.Born, "error", a.reply.Invalid)
+		}
+		return
+	}
+	g.quotas.Note(a.in.Start(), a.reply.Limit, sent)
+}
+
 // takeAnswer reads a whole answer and decides what it is worth.
 func (a *attempt) takeAnswer(resp *http.Response) (verdict, int) {
 	body, err := readWhole(resp.Body)
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -83,6 +83,7 @@
 	}
 	if resp.StatusCode != http.StatusMisdirectedRequest {
 		r.g.ends.Answered(a.in.Start(), a.conn.Opened, sent)
+		a.noteStatements(sent)
 	}
 	if a.reply.Slots > 0 {
 		a.r.g.loads.report(a.in.Start(), a.reply.Running, a.reply.Waiting, a.r.g.clock.Now())
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -14,6 +14,7 @@
 	"geraniumpass/crash"
 	"geraniumpass/meter"
 	"geraniumpass/pool"
+	"geraniumpass/quota"
 	"geraniumpass/retry"
 	"geraniumpass/view"
 )
@@ -47,6 +48,7 @@
 	budgets *budgets
 	hasher  *crash.Hasher
 	ends    *crash.Registry
+	quotas  *quota.Registry
 	repeats *retry.Window
 	meter   *meter.Meter
 
@@ -83,6 +85,7 @@
 		budgets:   newBudgets(),
 		hasher:    crash.NewHasher(opts.Key),
 		ends:      ends,
+		quotas:    quota.New(log),
 		repeats:   retry.NewWindow(opts.Allowance, opts.Started),
 		meter:     m,
 		neighbors: neighbors{name: opts.Name},
@@ -111,10 +114,12 @@
 	g.pool.Forget(func(t pool.Target) bool { return targets[t] })
 	g.probes.forget(g.clock.Now())
 	g.ends.Sweep()
-	g.loads.forget(func(start core.Start) bool {
+	listed := func(start core.Start) bool {
 		in, ok := s.Instance(start.ID)
 		return ok && in.Start() == start
-	})
+	}
+	g.loads.forget(listed)
+	g.quotas.Sweep(listed)
 }
 
 func (g *Gate) draw(n int) int {
--- a/gate/loads.go
+++ b/gate/loads.go
@@ -46,6 +46,8 @@
 	lostAt time.Time
 	// misplaced is true once another instance has answered at its address.
 	misplaced bool
+	// invalid is the last statement of the instance that could not be understood, empty for none.
+	invalid string
 	// waiting is when each request was sent that the instance has not begun to answer, the oldest first.
 	waiting []time.Time
 }
@@ -230,6 +232,16 @@
 	return ld.failures * math.Exp2(-now.Sub(ld.failedAt).Seconds()/failureHalfLife.Seconds())
 }
 
+// isNewInvalid notes a statement that could not be understood and returns true unless it was the last one too.
+func (l *loads) isNewInvalid(start core.Start, err error) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ld := l.get(start)
+	isNew := ld.invalid != err.Error()
+	ld.invalid = err.Error()
+	return isNew
+}
+
 // misplaced notes that another instance answers at the address of this one.
 func (l *loads) misplaced(start core.Start) {
 	l.mu.Lock()
--- a/gate/reply.go
+++ b/gate/reply.go
@@ -1,6 +1,10 @@
 package gate
 
-import "time"
+import (
+	"time"
+
+	"geraniumpass/quota"
+)
 
 // Reply is what an upstream's answer says of itself beside its status and body.
 type Reply struct {
@@ -16,4 +20,8 @@
 	Slots   int
 	// Idle is how long the upstream keeps the connection open, zero when it doesn't say.
 	Idle time.Duration
+	// Limit is what the upstream takes from all entries together.
+	Limit quota.Limit
+	// Invalid says which of the statements above could not be understood and is left out, nil when all could.
+	Invalid error
 }
