Keep the limit that an instance names, by all entries together

Cause: an entry passed over what an instance states of itself in its answers. Evidence: 51 requests in 4 s from one entry, whatever the limit; no source read the header. Fix: package quota keeps statements by the start of an instance, in the order of the requests' sends. Of each limit as many entries hold a part, by rendezvous hashing, as may send one request at once; the parts' rates add up to the limit and their depths to a burst that any span of four seconds has room for, so that no state of an entry matters. Others ask what the limit is now once nobody has heard of it for ten seconds, at random turns that don't add up. An instance without room is left out also when it is the only one: the caller is refused at once with the time at which there is room. A request that never left is given back.

--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -6,13 +6,10 @@
 	"net/http"
 	"time"
 
-	"github.com/samber/lo"
-
 	"geraniumpass/check"
 	"geraniumpass/core"
 	"geraniumpass/pool"
 	"geraniumpass/retry"
-	"geraniumpass/route"
 )
 
 const (
@@ -69,6 +66,7 @@
 		}
 		if r.sends > 0 && !r.takeRepeat() {
 			r.g.loads.end(in.Start())
+			r.permit.Return(r.g.clock.Now())
 			r.reason = "no_repeat_left"
 			break
 		}
@@ -110,7 +108,10 @@
 	case r.doubt:
 		return r.fail(http.StatusBadGateway, "lost")
 	}
-	if r.reason == "" {
+	switch {
+	case r.sends == 0 && r.room > 0:
+		r.reason = "limited"
+	case r.reason == "":
 		r.reason = "no_upstream"
 	}
 	return r.refuse(r.reason, r.retryAfter())
@@ -132,49 +133,11 @@
 	return retry.Backoff(retry.Refusal{
 		Aim:         r.route.Aim,
 		Left:        r.until.Sub(now),
+		Room:        r.room,
 		Unavailable: r.g.pulse.isUnavailable(r.service.Name, now),
 	}, r.g.draw)
 }
 
-// pick returns the instance for the next attempt, which counts as sent there from now on, so that requests that come together don't all
-// choose the same; ok is false when there is none that has not been tried.
-func (r *request) pick() (core.Instance, bool) {
-	snap := r.g.view.Now()
-	var list []core.Instance
-	for _, in := range snap.Usable(r.service.Name) {
-		if !r.tried[in.Start()] {
-			list = append(list, in)
-		}
-	}
-	now := r.g.clock.Now()
-	near := r.g.near(snap, r.service.Name)
-	alive := r.g.pulse.isAnswering(r.service.Name, now)
-	r.g.pickMu.Lock()
-	defer r.g.pickMu.Unlock()
-	seen := make([]route.Seen, len(list))
-	starts := lo.Map(list, func(in core.Instance, _ int) core.Start { return in.Start() })
-	for i, b := range r.g.loads.beliefs(starts, now) {
-		in := list[i]
-		seen[i] = route.Seen{
-			Domain:  in.Domain,
-			Load:    b.load,
-			Slots:   in.Slots,
-			Near:    near[in.ID],
-			Pace:    snap.Pace(in),
-			Penalty: b.failures * failurePenalty,
-			Open:    r.g.pool.Idle(targetOf(in)) > 0,
-			Barred: b.isBarred() || alive && r.g.loads.silent(in.Start(), now) > silentAfter ||
-				r.g.ended(snap, in),
-		}
-	}
-	i := route.Least(seen, r.g.opts.Domain, r.g.picks)
-	if i < 0 {
-		return core.Instance{}, false
-	}
-	r.g.loads.begin(list[i].Start())
-	return list[i], true
-}
-
 // attempt sends the request to one instance and passes its answer on when it is one.
 func (r *request) attempt(in core.Instance) (verdict, int) {
 	defer r.g.loads.end(in.Start())
@@ -190,6 +153,7 @@
 		}
 		r.g.log.Debug("no connection", "id", r.call.ID, "instance", in.ID, "error", err)
 		r.reason = "no_connection"
+		r.permit.Return(r.g.clock.Now())
 		return verdictUnsent, 0
 	}
 	check.Hold(check.AtMostOnce, r.sends == 0 || r.route.Repeatable() || !r.doubt, "%s goes out again", r.call.ID)
@@ -219,7 +183,9 @@
 		r.g.pulse.refused(r.service.Name)
 	case verdictFailed:
 		r.g.loads.failed(in.Start(), failureWeight, now)
-	case verdictUnsent, verdictGone:
+	case verdictUnsent:
+		r.permit.Return(now)
+	case verdictGone:
 	}
 	return v, status
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -32,6 +32,8 @@
 	Key []byte
 	// Ends is what is known of requests under which instances ended; without one the gate keeps its own.
 	Ends *crash.Registry
+	// Quotas are the limits that instances state and this entry's parts of them; without them the gate keeps its own.
+	Quotas *quota.Registry
 }
 
 // Gate answers callers; it is safe for use by several goroutines.
@@ -72,6 +74,10 @@
 	if ends == nil {
 		ends = crash.New(clock, log)
 	}
+	quotas := opts.Quotas
+	if quotas == nil {
+		quotas = quota.New(opts.Name, clock, log)
+	}
 	return &Gate{
 		opts:      opts,
 		clock:     clock,
@@ -85,7 +91,7 @@
 		budgets:   newBudgets(),
 		hasher:    crash.NewHasher(opts.Key),
 		ends:      ends,
-		quotas:    quota.New(log),
+		quotas:    quotas,
 		repeats:   retry.NewWindow(opts.Allowance, opts.Started),
 		meter:     m,
 		neighbors: neighbors{name: opts.Name},
--- a/gate/move.go
+++ b/gate/move.go
@@ -12,13 +12,13 @@
 	return r.paid
 }
 
-// hasAlternative returns true when there is an instance that the request was not sent to, that has not ended and that is not barred for its
-// failures: a silent instance may still answer, one that fails would not.
+// hasAlternative returns true when there is an instance that the request was not sent to, that has not ended, that is not barred for its
+// failures and that has room within its limit: a silent instance may still answer, one that fails would not.
 func (r *request) hasAlternative() bool {
 	snap := r.g.view.Now()
 	now := r.g.clock.Now()
 	for _, in := range snap.Usable(r.service.Name) {
-		if !r.tried[in.Start()] && !r.g.ended(snap, in) && !r.g.loads.isBarred(in.Start(), now) {
+		if !r.tried[in.Start()] && !r.g.ended(snap, in) && !r.g.loads.isBarred(in.Start(), now) && r.g.quotas.Wait(in.Start(), fleetOf(snap)) == 0 {
 			return true
 		}
 	}
--- a/route/picker.go
+++ b/route/picker.go
@@ -102,7 +102,7 @@
 		if c.Domain != p.Domain {
 			continue
 		}
-		if h := rendezvous(c.ID, r.Prefix); best < 0 || h > top {
+		if h := Rendezvous(c.ID, r.Prefix); best < 0 || h > top {
 			best, top = i, h
 		}
 	}
@@ -126,7 +126,8 @@
 	return max(1, candidates[0].Drain*spillGain.Seconds())
 }
 
-func rendezvous(id string, key uint64) uint64 {
+// Rendezvous returns the weight of an id for a key: of several ids the one with the largest is taken, and the others keep their order as it goes.
+func Rendezvous(id string, key uint64) uint64 {
 	d := xxhash.NewWithSeed(key)
 	_, _ = d.WriteString(id)
 	return d.Sum64()
--- a/route/subset.go
+++ b/route/subset.go
@@ -8,6 +8,11 @@
 	"geraniumpass/core"
 )
 
+// Seed returns the key of a name for Rendezvous.
+func Seed(name string) uint64 {
+	return xxhash.Sum64String(name)
+}
+
 // Subset returns the instances that an entry links to when the fleet has more than limit: of each service its fair part, own domain first, stable as the list changes.
 func Subset(entry, domain string, list []core.Instance, limit int) []core.Instance {
 	if len(list) <= limit {
@@ -17,7 +22,7 @@
 	for _, in := range list {
 		services[in.Service] = append(services[in.Service], in)
 	}
-	seed := xxhash.Sum64String(entry)
+	seed := Seed(entry)
 	var out []core.Instance
 	for _, rows := range services {
 		share := max(1, limit*len(rows)/len(list))
@@ -26,7 +31,7 @@
 			if hi != hj {
 				return hi
 			}
-			return rendezvous(rows[i].ID, seed) > rendezvous(rows[j].ID, seed)
+			return Rendezvous(rows[i].ID, seed) > Rendezvous(rows[j].ID, seed)
 		})
 		out = append(out, rows[:min(share, len(rows))]...)
 	}
