Tell other entries over the links which limits instances name

Cause: an entry that an instance hasn't told yet sends as if there were no limit, and one without a part of it learns from no answer that it has ended.

--- a/peer/asker.go
+++ b/peer/asker.go
@@ -11,6 +11,7 @@
 	"geraniumpass/crash"
 	"geraniumpass/plan"
 	"geraniumpass/proto"
+	"geraniumpass/quota"
 	"geraniumpass/retry"
 	"geraniumpass/view"
 	"geraniumpass/wire"
@@ -38,7 +39,9 @@
 	Seeds []string
 	View  *view.Keeper
 	Ends  Learner
-	Log   hclog.Logger
+	// Quotas takes the limits that instances state.
+	Quotas LimitLearner
+	Log    hclog.Logger
 }
 
 // Learner takes what a peer knows of instances that ended under a request.
@@ -46,6 +49,11 @@
 	Merge(ends []crash.End)
 }
 
+// LimitLearner takes what a peer knows of the limits that instances state.
+type LimitLearner interface {
+	Merge(notices []quota.Notice)
+}
+
 // Run asks until ctx ends.
 func (a *Asker) Run(ctx context.Context) {
 	for i := 1; i < peersAsked; i++ {
@@ -100,13 +108,14 @@
 			}
 		})
 	}()
-	ends := int64(0)
+	ends, limits := int64(0), int64(0)
 	for range redraw {
 		s := a.View.Now()
 		q := &proto.NewsAsk{
 			Rev:    s.Rev,
 			WaitMs: askWait.Milliseconds(),
 			Ends:   ends,
+			Limits: limits,
 		}
 		if s.Table != nil {
 			q.Table = s.Table.Version
@@ -119,7 +128,7 @@
 		case n := <-answers:
 			late.Stop()
 			a.take(n)
-			ends = n.EndsUpTo
+			ends, limits = n.EndsUpTo, n.LimitsUpTo
 		case <-late.C:
 			a.Log.Info("peer is silent", "peer", l.Peer.ID)
 			return
@@ -136,6 +145,7 @@
 func (a *Asker) take(n *proto.News) {
 	// Before the snapshot: whoever has a table has to know which requests it must not send.
 	a.Ends.Merge(n.Ends)
+	a.Quotas.Merge(n.Limits)
 	s := &view.Snapshot{
 		Rev:     n.Rev,
 		Members: n.Members,
--- a/peer/ends_test.go
+++ b/peer/ends_test.go
@@ -15,6 +15,7 @@
 	"geraniumpass/crash"
 	"geraniumpass/plan"
 	"geraniumpass/proto"
+	"geraniumpass/quota"
 	"geraniumpass/view"
 	"geraniumpass/wire"
 )
@@ -23,6 +24,7 @@
 type node struct {
 	view    *view.Keeper
 	ends    *crash.Registry
+	quotas  *quota.Registry
 	address string
 }
 
@@ -30,8 +32,9 @@
 	t.Helper()
 	clock, log := clockwork.NewRealClock(), hclog.NewNullLogger()
 	n := &node{
-		view: view.NewKeeper(name, clock, log),
-		ends: crash.New(clock, log),
+		view:   view.NewKeeper(name, clock, log),
+		ends:   crash.New(clock, log),
+		quotas: quota.New(name, clock, log),
 	}
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -39,8 +42,9 @@
 	}
 	n.address = ln.Addr().String()
 	server := &Server{
-		View: n.view,
-		Ends: n.ends,
+		View:   n.view,
+		Ends:   n.ends,
+		Quotas: n.quotas,
 	}
 	links := &fasthttp.Server{
 		Handler: func(ctx *fasthttp.RequestCtx) {
@@ -60,12 +64,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go (&Asker{
-		Own:   wire.Identity{ID: name},
-		Key:   []byte(testKey),
-		Seeds: []string{other.address},
-		View:  n.view,
-		Ends:  n.ends,
-		Log:   hclog.NewNullLogger(),
+		Own:    wire.Identity{ID: name},
+		Key:    []byte(testKey),
+		Seeds:  []string{other.address},
+		View:   n.view,
+		Ends:   n.ends,
+		Quotas: n.quotas,
+		Log:    hclog.NewNullLogger(),
 	}).Run(ctx)
 }
 
@@ -141,9 +146,10 @@
 	n := newNode(t, "a")
 	o := &order{view: n.view}
 	a := &Asker{
-		View: n.view,
-		Ends: o,
-		Log:  hclog.NewNullLogger(),
+		View:   n.view,
+		Ends:   o,
+		Quotas: n.quotas,
+		Log:    hclog.NewNullLogger(),
 	}
 	a.take(&proto.News{
 		Rev:       7,
--- a/peer/server.go
+++ b/peer/server.go
@@ -7,6 +7,7 @@
 
 	"geraniumpass/crash"
 	"geraniumpass/proto"
+	"geraniumpass/quota"
 	"geraniumpass/view"
 	"geraniumpass/wire"
 )
@@ -18,6 +19,8 @@
 type Server struct {
 	View *view.Keeper
 	Ends *crash.Registry
+	// Quotas are the limits that instances state.
+	Quotas *quota.Registry
 }
 
 // Serve answers the questions of one peer until its link ends.
@@ -33,13 +36,15 @@
 	timer := time.NewTimer(min(time.Duration(ask.WaitMs)*time.Millisecond, longestWait))
 	defer timer.Stop()
 	for {
-		changed, learned := s.View.Changed(), s.Ends.Changed()
+		changed, learned, limited := s.View.Changed(), s.Ends.Changed(), s.Quotas.Changed()
 		snap := s.View.Now()
 		// Ends are looked at after the snapshot, so that they hold all that was read with it.
 		ends, upTo := s.Ends.Since(ask.Ends)
-		if snap.Rev > ask.Rev || snap.Table != nil && snap.Table.Version > ask.Table || len(ends) > 0 {
+		limits, limitsUpTo := s.Quotas.Since(ask.Limits)
+		if snap.Rev > ask.Rev || snap.Table != nil && snap.Table.Version > ask.Table || len(ends)+len(limits) > 0 {
 			n := news(snap, ask)
 			n.Ends, n.EndsUpTo = ends, upTo
+			n.Limits, n.LimitsUpTo = limits, limitsUpTo
 			_ = l.Send(&proto.Frame{News: n})
 			return
 		}
@@ -48,12 +53,14 @@
 			return
 		case <-timer.C:
 			_ = l.Send(&proto.Frame{News: &proto.News{
-				Rev:      snap.Rev,
-				EndsUpTo: upTo,
+				Rev:        snap.Rev,
+				EndsUpTo:   upTo,
+				LimitsUpTo: limitsUpTo,
 			}})
 			return
 		case <-changed:
 		case <-learned:
+		case <-limited:
 		}
 	}
 }
--- a/proto/news.go
+++ b/proto/news.go
@@ -3,6 +3,7 @@
 import (
 	"geraniumpass/core"
 	"geraniumpass/crash"
+	"geraniumpass/quota"
 )
 
 // NewsAsk asks a peer for what it knows beyond revision Rev and table version Table, waiting up to WaitMs for something.
@@ -12,6 +13,8 @@
 	WaitMs int64 `cbor:"3,keyasint"`
 	// Ends is the EndsUpTo of the peer's last answer on this link, zero before one.
 	Ends int64 `cbor:"4,keyasint,omitempty"`
+	// Limits is the LimitsUpTo of the peer's last answer on this link, zero before one.
+	Limits int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // News is the answer: the peer's revision, and what it knows when that is newer.
@@ -30,4 +33,7 @@
 	EndsUpTo int64       `cbor:"8,keyasint,omitempty"`
 	// Paces are the slow instances by group, complete where Newer is set.
 	Paces map[string][]core.Pace `cbor:"9,keyasint,omitempty"`
+	// Limits are what instances state that the peer has learned of beyond those asked for, LimitsUpTo its number of the last of them.
+	Limits     []quota.Notice `cbor:"10,keyasint,omitempty"`
+	LimitsUpTo int64          `cbor:"11,keyasint,omitempty"`
 }
--- a/start/gateway.go
+++ b/start/gateway.go
@@ -25,6 +25,7 @@
 	"geraniumpass/meter"
 	"geraniumpass/peer"
 	"geraniumpass/platform"
+	"geraniumpass/quota"
 	"geraniumpass/retry"
 	"geraniumpass/setup"
 	"geraniumpass/view"
@@ -79,6 +80,7 @@
 	keeper *view.Keeper
 	source *platform.Source
 	ends   *crash.Registry
+	quotas *quota.Registry
 	writer *crash.Keeper
 	gate   *gate.Gate
 	own    wire.Identity
@@ -97,6 +99,7 @@
 	counts := meter.New(clock)
 	st := platform.NewStore(cfg.Store)
 	ends := crash.New(clock, log.Named("crash"))
+	quotas := quota.New(cfg.ID, clock, log.Named("quota"))
 	source := platform.NewSource(st, log.Named("store"))
 	source.Teach(ends)
 	g := &gateway{
@@ -106,6 +109,7 @@
 		keeper: keeper,
 		source: source,
 		ends:   ends,
+		quotas: quotas,
 		writer: &crash.Keeper{
 			Registry: ends,
 			Store:    st,
@@ -123,6 +127,7 @@
 			Started: clock.Now(),
 			Key:     []byte(cfg.LinkKey),
 			Ends:    ends,
+			Quotas:  quotas,
 		}, clock, log.Named("gate"), keeper, platform.Dialect{}, counts),
 		own: wire.Identity{
 			ID:          cfg.ID,
@@ -155,13 +160,21 @@
 			log.Warn("ends not told", "error", err)
 		}
 	})
+	mux.HandleFunc("/debug/limits", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		known, _ := quotas.Since(0)
+		if err := json.NewEncoder(w).Encode(known); err != nil {
+			log.Warn("limits not told", "error", err)
+		}
+	})
 	g.ready = &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: headTimeout,
 	}
 	server := &peer.Server{
-		View: keeper,
-		Ends: ends,
+		View:   keeper,
+		Ends:   ends,
+		Quotas: quotas,
 	}
 	g.links = &fasthttp.Server{
 		Handler: func(ctx *fasthttp.RequestCtx) {
@@ -213,12 +226,13 @@
 	go g.keeper.Run(ctx, g.source)
 	go g.join(ctx)
 	go (&peer.Asker{
-		Own:   g.own,
-		Key:   []byte(g.cfg.LinkKey),
-		Seeds: g.cfg.Seeds,
-		View:  g.keeper,
-		Ends:  g.ends,
-		Log:   g.log.Named("peer"),
+		Own:    g.own,
+		Key:    []byte(g.cfg.LinkKey),
+		Seeds:  g.cfg.Seeds,
+		View:   g.keeper,
+		Ends:   g.ends,
+		Quotas: g.quotas,
+		Log:    g.log.Named("peer"),
 	}).Run(ctx)
 	go g.writer.Run(ctx)
 	go g.sweep(ctx)
