--- a/gate/answering.go
+++ b/gate/answering.go
@@ -33,13 +33,15 @@
 // noteStatements takes what the instance states of itself in an answer to a request sent at a time.
 func (a *attempt) noteStatements(sent time.Time) {
 	g := a.r.g
-	if a.reply.Invalid != nil {
-		if g.loads.isNewInvalid(a.in.Start(), a.reply.Invalid) {
-			g.log.Warn("statement of an instance can't be understood", "instance", a.in.ID, "born", a.in.Born, "error", a.reply.Invalid)
-		}
-		return
+	if a.reply.Invalid != nil && g.loads.isNewInvalid(a.in.Start(), a.reply.Invalid) {
+		g.log.Warn("statement of an instance can't be understood", "instance", a.in.ID, "born", a.in.Born, "error", a.reply.Invalid)
+	}
+	if a.reply.Rest > 0 {
+		g.log.Info("instance asks for rest", "instance", a.in.ID, "born", a.in.Born, "id", a.r.call.ID, "ms", a.reply.Rest.Milliseconds())
+	}
+	if !a.reply.LimitUnclear {
+		g.quotas.Note(a.in.Start(), a.reply.Limit, sent)
 	}
-	g.quotas.Note(a.in.Start(), a.reply.Limit, sent)
 }
 
 // takeAnswer reads a whole answer and decides what it is worth.
--- a/gate/reply.go
+++ b/gate/reply.go
@@ -20,8 +20,12 @@
 	Slots   int
 	// Idle is how long the upstream keeps the connection open, zero when it doesn't say.
 	Idle time.Duration
-	// Limit is what the upstream takes from all entries together.
-	Limit quota.Limit
+	// Rest is for how long an upstream that refused the request wants none from this entry, zero when it doesn't say.
+	Rest time.Duration
+	// Limit is what the upstream takes from all entries together; LimitUnclear is true when that could not be understood, which is not the
+	// same as none.
+	Limit        quota.Limit
+	LimitUnclear bool
 	// Invalid says which of the statements above could not be understood and is left out, nil when all could.
 	Invalid error
 }
