Leave an instance alone for the rest that it asks for

Cause: the time in a refusal was not read. The refusal counted as seven tenths of a failure, which is forgotten in some three seconds whatever the instance asked for, and a bar for failures lets the only instance be used. Evidence: 3 and 4 requests towards the end of a rest where another instance is full, 15 to 25 where there is no other; two are allowed. Fix: a rest excludes the instance, from this entry's sends, until the latest end that it asked for, also when it is the only one; requests that waited for a connection meanwhile are not sent. Callers are refused at once with the time at which the first instance takes something, spread over a sixth of that time at least. The refusal itself weighs nothing beside the rest, so that the instance has its part again after it. The rest is kept by this entry alone: the instance spoke to it, and others may still be welcome. Not tested: the look at the rest after a connection was waited for.

--- a/gate/answering.go
+++ b/gate/answering.go
@@ -37,6 +37,7 @@
 		g.log.Warn("statement of an instance can't be understood", "instance", a.in.ID, "born", a.in.Born, "error", a.reply.Invalid)
 	}
 	if a.reply.Rest > 0 {
+		g.rests.ask(a.in.Start(), g.clock.Now().Add(a.reply.Rest))
 		g.log.Info("instance asks for rest", "instance", a.in.ID, "born", a.in.Born, "id", a.r.call.ID, "ms", a.reply.Rest.Milliseconds())
 	}
 	if !a.reply.LimitUnclear {
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -108,13 +108,15 @@
 	case r.doubt:
 		return r.fail(http.StatusBadGateway, "lost")
 	}
+	room, why := r.firstRoom()
 	switch {
-	case r.sends == 0 && r.room > 0:
-		r.reason = "limited"
-	case r.reason == "":
+	case r.reason != "":
+	case why != "":
+		r.reason = why
+	default:
 		r.reason = "no_upstream"
 	}
-	return r.refuse(r.reason, r.retryAfter())
+	return r.refuse(r.reason, r.retryAfter(room))
 }
 
 // failCrashing ends a request that ends the instances that run it. It has run, at other times if not now, and no time to come back is named:
@@ -127,13 +129,13 @@
 	return r.fail(http.StatusBadGateway, "ends_instances")
 }
 
-// retryAfter is when a refused caller should return.
-func (r *request) retryAfter() time.Duration {
+// retryAfter is when a refused caller should return; room is how long every instance is held back.
+func (r *request) retryAfter(room time.Duration) time.Duration {
 	now := r.g.clock.Now()
 	return retry.Backoff(retry.Refusal{
 		Aim:         r.route.Aim,
 		Left:        r.until.Sub(now),
-		Room:        r.room,
+		Room:        room,
 		Unavailable: r.g.pulse.isUnavailable(r.service.Name, now),
 	}, r.g.draw)
 }
@@ -156,6 +158,13 @@
 		r.permit.Return(r.g.clock.Now())
 		return verdictUnsent, 0
 	}
+	if r.g.rests.left(in.Start(), r.g.clock.Now()) > 0 {
+		// It has asked for rest while the connection was opened.
+		conn.Discard()
+		r.permit.Return(r.g.clock.Now())
+		r.reason = reasonResting
+		return verdictUnsent, 0
+	}
 	check.Hold(check.AtMostOnce, r.sends == 0 || r.route.Repeatable() || !r.doubt, "%s goes out again", r.call.ID)
 	a := &attempt{
 		r:    r,
@@ -179,7 +188,10 @@
 			r.g.pulse.refused(r.service.Name)
 		}
 	case verdictNotRun:
-		r.g.loads.failed(in.Start(), refusedWeight, now)
+		if a.reply.Rest == 0 {
+			// The rest speaks for itself: after it the instance has its part again.
+			r.g.loads.failed(in.Start(), refusedWeight, now)
+		}
 		r.g.pulse.refused(r.service.Name)
 	case verdictFailed:
 		r.g.loads.failed(in.Start(), failureWeight, now)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -51,6 +51,7 @@
 	hasher  *crash.Hasher
 	ends    *crash.Registry
 	quotas  *quota.Registry
+	rests   *rests
 	repeats *retry.Window
 	meter   *meter.Meter
 
@@ -92,6 +93,7 @@
 		hasher:    crash.NewHasher(opts.Key),
 		ends:      ends,
 		quotas:    quotas,
+		rests:     newRests(),
 		repeats:   retry.NewWindow(opts.Allowance, opts.Started),
 		meter:     m,
 		neighbors: neighbors{name: opts.Name},
@@ -126,6 +128,7 @@
 	}
 	g.loads.forget(listed)
 	g.quotas.Sweep(listed)
+	g.rests.forget(g.clock.Now(), listed)
 }
 
 func (g *Gate) draw(n int) int {
--- a/gate/move.go
+++ b/gate/move.go
@@ -13,12 +13,13 @@
 }
 
 // hasAlternative returns true when there is an instance that the request was not sent to, that has not ended, that is not barred for its
-// failures and that has room within its limit: a silent instance may still answer, one that fails would not.
+// failures and that is not held back: a silent instance may still answer, one that fails would not.
 func (r *request) hasAlternative() bool {
 	snap := r.g.view.Now()
 	now := r.g.clock.Now()
+	fleet := fleetOf(snap)
 	for _, in := range snap.Usable(r.service.Name) {
-		if !r.tried[in.Start()] && !r.g.ended(snap, in) && !r.g.loads.isBarred(in.Start(), now) && r.g.quotas.Wait(in.Start(), fleetOf(snap)) == 0 {
+		if !r.tried[in.Start()] && !r.g.ended(snap, in) && !r.g.loads.isBarred(in.Start(), now) && !r.g.isHeldBack(in.Start(), fleet, now) {
 			return true
 		}
 	}
--- a/gate/pick.go
+++ b/gate/pick.go
@@ -1,10 +1,11 @@
 package gate
 
 import (
+	"time"
+
 	"github.com/samber/lo"
 
 	"geraniumpass/core"
-	"geraniumpass/quota"
 	"geraniumpass/route"
 	"geraniumpass/view"
 )
@@ -18,7 +19,7 @@
 	alive := r.g.pulse.isAnswering(r.service.Name, now)
 	r.g.pickMu.Lock()
 	defer r.g.pickMu.Unlock()
-	list := r.candidates(snap)
+	list := r.candidates(snap, now)
 	seen := make([]route.Seen, len(list))
 	starts := lo.Map(list, func(in core.Instance, _ int) core.Start { return in.Start() })
 	for i, b := range r.g.loads.beliefs(starts, now) {
@@ -46,37 +47,10 @@
 	return list[i], true
 }
 
-// candidates returns the instances that have not been tried and may be sent to; those that have no room within their limits are left out, also
-// when there is no other.
-func (r *request) candidates(snap *view.Snapshot) []core.Instance {
+// candidates returns the instances that have not been tried and that are not held back, also when there is no other.
+func (r *request) candidates(snap *view.Snapshot, now time.Time) []core.Instance {
 	fleet := fleetOf(snap)
-	r.room = 0
-	var list []core.Instance
-	for _, in := range snap.Usable(r.service.Name) {
-		if r.tried[in.Start()] {
-			continue
-		}
-		if r.g.quotas.Wait(in.Start(), fleet) > 0 {
-			r.noteRoom(in, fleet)
-			continue
-		}
-		list = append(list, in)
-	}
-	return list
-}
-
-// noteRoom keeps when the first of the instances that were passed over for their limits has room.
-func (r *request) noteRoom(in core.Instance, fleet quota.Fleet) {
-	room := r.g.quotas.Room(in.Start(), fleet)
-	if r.room == 0 || room < r.room {
-		r.room = room
-	}
-}
-
-// fleetOf returns the entries that share the limits of instances.
-func fleetOf(snap *view.Snapshot) quota.Fleet {
-	return quota.Fleet{
-		Rev:     snap.Rev,
-		Members: snap.Members,
-	}
+	return lo.Filter(snap.Usable(r.service.Name), func(in core.Instance, _ int) bool {
+		return !r.tried[in.Start()] && !r.g.isHeldBack(in.Start(), fleet, now)
+	})
 }
--- a/gate/request.go
+++ b/gate/request.go
@@ -45,10 +45,8 @@
 	doubt bool
 	// failure is an upstream's whole answer that a repeat may still better.
 	failure *answer
-	// permit is what the next send takes of an instance's limit, room when there is some at an instance that was passed over for its limit,
-	// zero without one.
+	// permit is what the next send takes of an instance's limit.
 	permit quota.Permit
-	room   time.Duration
 	// stream is what has been passed on of a stream.
 	stream delivered
 	// digest is what the request is known by when it comes again, once hashed.
--- /dev/null
+++ b/gate/rests_test.go
@@ -0,0 +1,44 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"geraniumpass/core"
+)
+
+// TestRestOfSeveralAnswers guards against a rest that ends early since another answer asked for less, or that outlives its start or its time.
+func TestRestOfSeveralAnswers(t *testing.T) {
+	start := core.Start{ID: "i-1", Born: 1}
+	tests := []struct {
+		name  string
+		until []time.Duration
+		start core.Start
+		at    time.Duration
+		want  time.Duration
+	}{
+		{name: "none", start: start},
+		{name: "one", until: []time.Duration{3 * time.Second}, start: start, at: time.Second, want: 2 * time.Second},
+		{name: "a shorter one after it", until: []time.Duration{3 * time.Second, 2 * time.Second}, start: start, at: time.Second, want: 2 * time.Second},
+		{name: "a longer one after it", until: []time.Duration{2 * time.Second, 3 * time.Second}, start: start, at: time.Second, want: 2 * time.Second},
+		{name: "over", until: []time.Duration{3 * time.Second}, start: start, at: 3 * time.Second},
+		{name: "another start", until: []time.Duration{3 * time.Second}, start: core.Start{ID: "i-1", Born: 2}, at: time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			began := time.Unix(1_000, 0)
+			r := newRests()
+			for _, until := range tt.until {
+				r.ask(start, began.Add(until))
+			}
+			now := began.Add(tt.at)
+			if got := r.left(tt.start, now); got != tt.want {
+				t.Errorf("%v left, want %v", got, tt.want)
+			}
+			r.forget(now, func(core.Start) bool { return true })
+			if got := r.left(tt.start, now); got != tt.want {
+				t.Errorf("%v left after what is over was forgotten, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/retry/back.go
+++ b/retry/back.go
@@ -18,16 +18,19 @@
 	// Aim is the time within which its class is to begin, Left what remains of the caller's time.
 	Aim  time.Duration
 	Left time.Duration
-	// Room is when there is room at the first of the instances that have named limits, zero without one.
+	// Room is when the first instance may be sent to, where all are known to take nothing until then; zero otherwise.
 	Room time.Duration
 	// Unavailable is true while the service can't serve anybody.
 	Unavailable bool
 }
 
-// Backoff returns when a refused caller should come back: to a busy service after about half of its target, to instances that have named
-// limits when they have room, to a service that can't serve at all as late as callers heed. Both are spread by draw, which returns a random number below its argument, so that callers don't return as one.
+// Backoff returns when a refused caller should come back: to a busy service after about half of its target, to instances that take nothing
+// until a moment soon after it, to a service that can't serve at all as late as callers heed. Both are spread by draw, which returns a random number below its argument, so that callers don't return as one.
 func Backoff(r Refusal, draw func(n int) int) time.Duration {
-	base := max(r.Aim/2, minBackoff, r.Room)
+	base := max(r.Aim/2, minBackoff)
+	if r.Room > base {
+		return r.Room + time.Duration(draw(int(max(base, r.Room/jitterParts))))
+	}
 	if r.Unavailable {
 		base = max(base, min(time.Duration(outageBackoffFraction*float64(r.Left)), maxOutageBackoff))
 		return base - time.Duration(draw(int(base/jitterParts)+1))
