--- a/gate/answering.go
+++ b/gate/answering.go
@@ -36,6 +36,9 @@
 	if a.reply.Invalid != nil && g.loads.isNewInvalid(a.in.Start(), a.reply.Invalid) {
 		g.log.Warn("statement of an instance can't be understood", "instance", a.in.ID, "born", a.in.Born, "error", a.reply.Invalid)
 	}
+	if a.reply.Leaving {
+		g.log.Info("instance says that it leaves", "instance", a.in.ID, "born", a.in.Born, "id", a.r.call.ID)
+	}
 	if a.reply.Rest > 0 {
 		g.rests.ask(a.in.Start(), g.clock.Now().Add(a.reply.Rest))
 		g.log.Info("instance asks for rest", "instance", a.in.ID, "born", a.in.Born, "id", a.r.call.ID, "ms", a.reply.Rest.Milliseconds())
--- a/gate/reply.go
+++ b/gate/reply.go
@@ -20,6 +20,8 @@
 	Slots   int
 	// Idle is how long the upstream keeps the connection open, zero when it doesn't say.
 	Idle time.Duration
+	// Leaving is true when the upstream says that it leaves.
+	Leaving bool
 	// Rest is for how long an upstream that refused the request wants none from this entry, zero when it doesn't say.
 	Rest time.Duration
 	// Limit is what the upstream takes from all entries together; LimitUnclear is true when that could not be understood, which is not the
