Give nothing more to an instance that says in an answer that it leaves

What callers saw: nothing yet; an instance that leaves got work until the store said so, or ended under it. Cause: as with rests, an entry passed over what an upstream states in its answers; leaving was known from the list of instances alone. Evidence: 24 and 48 requests in 1.5 s from one entry after it was told, 216 from nine. It needs no store. The link's answer is put together in one place now.

--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -158,11 +158,10 @@
 		r.permit.Return(r.g.clock.Now())
 		return verdictUnsent, 0
 	}
-	if r.g.rests.left(in.Start(), r.g.clock.Now()) > 0 {
-		// It has asked for rest while the connection was opened.
+	if r.g.gone.Leaves(in.Start()) || r.g.rests.left(in.Start(), r.g.clock.Now()) > 0 {
+		// It has said so while the connection was opened.
 		conn.Discard()
 		r.permit.Return(r.g.clock.Now())
-		r.reason = reasonResting
 		return verdictUnsent, 0
 	}
 	check.Hold(check.AtMostOnce, r.sends == 0 || r.route.Repeatable() || !r.doubt, "%s goes out again", r.call.ID)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -12,6 +12,7 @@
 
 	"geraniumpass/core"
 	"geraniumpass/crash"
+	"geraniumpass/leave"
 	"geraniumpass/meter"
 	"geraniumpass/pool"
 	"geraniumpass/quota"
@@ -34,6 +35,8 @@
 	Ends *crash.Registry
 	// Quotas are the limits that instances state and this entry's parts of them; without them the gate keeps its own.
 	Quotas *quota.Registry
+	// Leaving are the instances that have said that they leave; without them the gate keeps its own.
+	Leaving *leave.Registry
 }
 
 // Gate answers callers; it is safe for use by several goroutines.
@@ -52,6 +55,7 @@
 	ends    *crash.Registry
 	quotas  *quota.Registry
 	rests   *rests
+	gone    *leave.Registry
 	repeats *retry.Window
 	meter   *meter.Meter
 
@@ -79,6 +83,10 @@
 	if quotas == nil {
 		quotas = quota.New(opts.Name, clock, log)
 	}
+	gone := opts.Leaving
+	if gone == nil {
+		gone = leave.New(clock, log)
+	}
 	return &Gate{
 		opts:      opts,
 		clock:     clock,
@@ -94,6 +102,7 @@
 		ends:      ends,
 		quotas:    quotas,
 		rests:     newRests(),
+		gone:      gone,
 		repeats:   retry.NewWindow(opts.Allowance, opts.Started),
 		meter:     m,
 		neighbors: neighbors{name: opts.Name},
@@ -122,6 +131,7 @@
 	g.pool.Forget(func(t pool.Target) bool { return targets[t] })
 	g.probes.forget(g.clock.Now())
 	g.ends.Sweep()
+	g.gone.Sweep()
 	listed := func(start core.Start) bool {
 		in, ok := s.Instance(start.ID)
 		return ok && in.Start() == start
--- a/peer/asker.go
+++ b/peer/asker.go
@@ -41,7 +41,9 @@
 	Ends  Learner
 	// Quotas takes the limits that instances state.
 	Quotas LimitLearner
-	Log    hclog.Logger
+	// Leaving takes the instances that leave.
+	Leaving LeavingLearner
+	Log     hclog.Logger
 }
 
 // Learner takes what a peer knows of instances that ended under a request.
@@ -54,6 +56,11 @@
 	Merge(notices []quota.Notice)
 }
 
+// LeavingLearner takes what a peer knows of instances that leave.
+type LeavingLearner interface {
+	Merge(starts []core.Start)
+}
+
 // Run asks until ctx ends.
 func (a *Asker) Run(ctx context.Context) {
 	for i := 1; i < peersAsked; i++ {
@@ -108,14 +115,15 @@
 			}
 		})
 	}()
-	ends, limits := int64(0), int64(0)
+	last := &proto.News{}
 	for range redraw {
 		s := a.View.Now()
 		q := &proto.NewsAsk{
-			Rev:    s.Rev,
-			WaitMs: askWait.Milliseconds(),
-			Ends:   ends,
-			Limits: limits,
+			Rev:     s.Rev,
+			WaitMs:  askWait.Milliseconds(),
+			Ends:    last.EndsUpTo,
+			Limits:  last.LimitsUpTo,
+			Leaving: last.LeavingUpTo,
 		}
 		if s.Table != nil {
 			q.Table = s.Table.Version
@@ -125,10 +133,9 @@
 		}
 		late := time.NewTimer(askWait + answerSlack)
 		select {
-		case n := <-answers:
+		case last = <-answers:
 			late.Stop()
-			a.take(n)
-			ends, limits = n.EndsUpTo, n.LimitsUpTo
+			a.take(last)
 		case <-late.C:
 			a.Log.Info("peer is silent", "peer", l.Peer.ID)
 			return
@@ -146,6 +153,7 @@
 	// Before the snapshot: whoever has a table has to know which requests it must not send.
 	a.Ends.Merge(n.Ends)
 	a.Quotas.Merge(n.Limits)
+	a.Leaving.Merge(n.Leaving)
 	s := &view.Snapshot{
 		Rev:     n.Rev,
 		Members: n.Members,
--- a/peer/ends_test.go
+++ b/peer/ends_test.go
@@ -13,6 +13,7 @@
 
 	"geraniumpass/core"
 	"geraniumpass/crash"
+	"geraniumpass/leave"
 	"geraniumpass/plan"
 	"geraniumpass/proto"
 	"geraniumpass/quota"
@@ -25,6 +26,7 @@
 	view    *view.Keeper
 	ends    *crash.Registry
 	quotas  *quota.Registry
+	leaving *leave.Registry
 	address string
 }
 
@@ -32,9 +34,10 @@
 	t.Helper()
 	clock, log := clockwork.NewRealClock(), hclog.NewNullLogger()
 	n := &node{
-		view:   view.NewKeeper(name, clock, log),
-		ends:   crash.New(clock, log),
-		quotas: quota.New(name, clock, log),
+		view:    view.NewKeeper(name, clock, log),
+		ends:    crash.New(clock, log),
+		quotas:  quota.New(name, clock, log),
+		leaving: leave.New(clock, log),
 	}
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -42,9 +45,10 @@
 	}
 	n.address = ln.Addr().String()
 	server := &Server{
-		View:   n.view,
-		Ends:   n.ends,
-		Quotas: n.quotas,
+		View:    n.view,
+		Ends:    n.ends,
+		Quotas:  n.quotas,
+		Leaving: n.leaving,
 	}
 	links := &fasthttp.Server{
 		Handler: func(ctx *fasthttp.RequestCtx) {
@@ -64,13 +68,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go (&Asker{
-		Own:    wire.Identity{ID: name},
-		Key:    []byte(testKey),
-		Seeds:  []string{other.address},
-		View:   n.view,
-		Ends:   n.ends,
-		Quotas: n.quotas,
-		Log:    hclog.NewNullLogger(),
+		Own:     wire.Identity{ID: name},
+		Key:     []byte(testKey),
+		Seeds:   []string{other.address},
+		View:    n.view,
+		Ends:    n.ends,
+		Quotas:  n.quotas,
+		Leaving: n.leaving,
+		Log:     hclog.NewNullLogger(),
 	}).Run(ctx)
 }
 
@@ -120,7 +125,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			n := news(snap, &proto.NewsAsk{Rev: tt.rev})
+			n := lists(snap, &proto.NewsAsk{Rev: tt.rev})
 			if got := len(n.Instances) > 0 && len(n.Members) > 0; got != tt.lists || n.Newer != tt.lists {
 				t.Errorf("lists sent: %v, newer: %v; want %v", got, n.Newer, tt.lists)
 			}
@@ -146,10 +151,11 @@
 	n := newNode(t, "a")
 	o := &order{view: n.view}
 	a := &Asker{
-		View:   n.view,
-		Ends:   o,
-		Quotas: n.quotas,
-		Log:    hclog.NewNullLogger(),
+		View:    n.view,
+		Ends:    o,
+		Quotas:  n.quotas,
+		Leaving: n.leaving,
+		Log:     hclog.NewNullLogger(),
 	}
 	a.take(&proto.News{
 		Rev:       7,
--- a/peer/server.go
+++ b/peer/server.go
@@ -6,6 +6,7 @@
 	"github.com/samber/lo"
 
 	"geraniumpass/crash"
+	"geraniumpass/leave"
 	"geraniumpass/proto"
 	"geraniumpass/quota"
 	"geraniumpass/view"
@@ -21,6 +22,8 @@
 	Ends *crash.Registry
 	// Quotas are the limits that instances state.
 	Quotas *quota.Registry
+	// Leaving are the instances that have said that they leave.
+	Leaving *leave.Registry
 }
 
 // Serve answers the questions of one peer until its link ends.
@@ -32,19 +35,15 @@
 	})
 }
 
+// answer holds a question until there is something that its peer doesn't know, or until the time that the peer waits is over.
 func (s *Server) answer(l *wire.Link, ask *proto.NewsAsk) {
 	timer := time.NewTimer(min(time.Duration(ask.WaitMs)*time.Millisecond, longestWait))
 	defer timer.Stop()
 	for {
-		changed, learned, limited := s.View.Changed(), s.Ends.Changed(), s.Quotas.Changed()
-		snap := s.View.Now()
-		// Ends are looked at after the snapshot, so that they hold all that was read with it.
-		ends, upTo := s.Ends.Since(ask.Ends)
-		limits, limitsUpTo := s.Quotas.Since(ask.Limits)
-		if snap.Rev > ask.Rev || snap.Table != nil && snap.Table.Version > ask.Table || len(ends)+len(limits) > 0 {
-			n := news(snap, ask)
-			n.Ends, n.EndsUpTo = ends, upTo
-			n.Limits, n.LimitsUpTo = limits, limitsUpTo
+		changed, ended := s.View.Changed(), s.Ends.Changed()
+		limited, leaving := s.Quotas.Changed(), s.Leaving.Changed()
+		n, isNews := s.news(ask)
+		if isNews {
 			_ = l.Send(&proto.Frame{News: n})
 			return
 		}
@@ -52,20 +51,29 @@
 		case <-l.Done():
 			return
 		case <-timer.C:
-			_ = l.Send(&proto.Frame{News: &proto.News{
-				Rev:        snap.Rev,
-				EndsUpTo:   upTo,
-				LimitsUpTo: limitsUpTo,
-			}})
+			_ = l.Send(&proto.Frame{News: n})
 			return
 		case <-changed:
-		case <-learned:
+		case <-ended:
 		case <-limited:
+		case <-leaving:
 		}
 	}
 }
 
-func news(s *view.Snapshot, ask *proto.NewsAsk) *proto.News {
+// news returns what a peer lacks, and whether there is anything.
+func (s *Server) news(ask *proto.NewsAsk) (n *proto.News, isNews bool) {
+	snap := s.View.Now()
+	n = lists(snap, ask)
+	// These are looked at after the snapshot, so that they hold all that was read with it.
+	n.Ends, n.EndsUpTo = s.Ends.Since(ask.Ends)
+	n.Limits, n.LimitsUpTo = s.Quotas.Since(ask.Limits)
+	n.Leaving, n.LeavingUpTo = s.Leaving.Since(ask.Leaving)
+	return n, n.Newer || len(n.Table) > 0 || len(n.Ends)+len(n.Limits)+len(n.Leaving) > 0
+}
+
+// lists returns the snapshot's lists and its table as far as a peer lacks them.
+func lists(s *view.Snapshot, ask *proto.NewsAsk) *proto.News {
 	n := &proto.News{
 		Rev:   s.Rev,
 		Newer: s.Rev > ask.Rev,
--- a/proto/news.go
+++ b/proto/news.go
@@ -15,6 +15,8 @@
 	Ends int64 `cbor:"4,keyasint,omitempty"`
 	// Limits is the LimitsUpTo of the peer's last answer on this link, zero before one.
 	Limits int64 `cbor:"5,keyasint,omitempty"`
+	// Leaving is the LeavingUpTo of the peer's last answer on this link, zero before one.
+	Leaving int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // News is the answer: the peer's revision, and what it knows when that is newer.
@@ -36,4 +38,7 @@
 	// Limits are what instances state that the peer has learned of beyond those asked for, LimitsUpTo its number of the last of them.
 	Limits     []quota.Notice `cbor:"10,keyasint,omitempty"`
 	LimitsUpTo int64          `cbor:"11,keyasint,omitempty"`
+	// Leaving are the starts of instances beyond those asked for that are known to leave, LeavingUpTo the peer's number of the last of them.
+	Leaving     []core.Start `cbor:"12,keyasint,omitempty"`
+	LeavingUpTo int64        `cbor:"13,keyasint,omitempty"`
 }
--- a/start/gateway.go
+++ b/start/gateway.go
@@ -21,6 +21,7 @@
 	"geraniumpass/check"
 	"geraniumpass/crash"
 	"geraniumpass/gate"
+	"geraniumpass/leave"
 	"geraniumpass/logio"
 	"geraniumpass/meter"
 	"geraniumpass/peer"
@@ -74,19 +75,20 @@
 
 // gateway is a running gateway role.
 type gateway struct {
-	cfg    *setup.Gateway
-	log    hclog.Logger
-	clock  clockwork.Clock
-	keeper *view.Keeper
-	source *platform.Source
-	ends   *crash.Registry
-	quotas *quota.Registry
-	writer *crash.Keeper
-	gate   *gate.Gate
-	own    wire.Identity
-	front  *http.Server
-	ready  *http.Server
-	links  *fasthttp.Server
+	cfg     *setup.Gateway
+	log     hclog.Logger
+	clock   clockwork.Clock
+	keeper  *view.Keeper
+	source  *platform.Source
+	ends    *crash.Registry
+	quotas  *quota.Registry
+	leaving *leave.Registry
+	writer  *crash.Keeper
+	gate    *gate.Gate
+	own     wire.Identity
+	front   *http.Server
+	ready   *http.Server
+	links   *fasthttp.Server
 	// stopping is closed when SIGTERM came.
 	stopping chan struct{}
 }
@@ -99,17 +101,19 @@
 	counts := meter.New(clock)
 	st := platform.NewStore(cfg.Store)
 	ends := crash.New(clock, log.Named("crash"))
+	leaving := leave.New(clock, log.Named("leave"))
 	quotas := quota.New(cfg.ID, clock, log.Named("quota"))
 	source := platform.NewSource(st, log.Named("store"))
 	source.Teach(ends)
 	g := &gateway{
-		cfg:    cfg,
-		log:    log,
-		clock:  clock,
-		keeper: keeper,
-		source: source,
-		ends:   ends,
-		quotas: quotas,
+		cfg:     cfg,
+		log:     log,
+		clock:   clock,
+		keeper:  keeper,
+		source:  source,
+		ends:    ends,
+		quotas:  quotas,
+		leaving: leaving,
 		writer: &crash.Keeper{
 			Registry: ends,
 			Store:    st,
@@ -128,6 +132,7 @@
 			Key:     []byte(cfg.LinkKey),
 			Ends:    ends,
 			Quotas:  quotas,
+			Leaving: leaving,
 		}, clock, log.Named("gate"), keeper, platform.Dialect{}, counts),
 		own: wire.Identity{
 			ID:          cfg.ID,
@@ -172,9 +177,10 @@
 		ReadHeaderTimeout: headTimeout,
 	}
 	server := &peer.Server{
-		View:   keeper,
-		Ends:   ends,
-		Quotas: quotas,
+		View:    keeper,
+		Ends:    ends,
+		Quotas:  quotas,
+		Leaving: leaving,
 	}
 	g.links = &fasthttp.Server{
 		Handler: func(ctx *fasthttp.RequestCtx) {
@@ -226,13 +232,14 @@
 	go g.keeper.Run(ctx, g.source)
 	go g.join(ctx)
 	go (&peer.Asker{
-		Own:    g.own,
-		Key:    []byte(g.cfg.LinkKey),
-		Seeds:  g.cfg.Seeds,
-		View:   g.keeper,
-		Ends:   g.ends,
-		Quotas: g.quotas,
-		Log:    g.log.Named("peer"),
+		Own:     g.own,
+		Key:     []byte(g.cfg.LinkKey),
+		Seeds:   g.cfg.Seeds,
+		View:    g.keeper,
+		Ends:    g.ends,
+		Quotas:  g.quotas,
+		Leaving: g.leaving,
+		Log:     g.log.Named("peer"),
 	}).Run(ctx)
 	go g.writer.Run(ctx)
 	go g.sweep(ctx)
