Remember a limit while its instance's entry is away for a moment

Cause: a limit was forgotten in the second in which the instance was not listed, as entries are that lapse in an outage of the store and come back; the entries that had been told sent as if there were none, until the next answer told them again. Found by reading. It is remembered for a minute. TestLimitOutlivesItsEntry failed before (row "vanished a moment ago").

--- a/quota/registry.go
+++ b/quota/registry.go
@@ -19,8 +19,9 @@
 	// holds: an entry that stood still tells of old things as of new ones, and those that know better are heard within that time.
 	raiseSlack   = 500 * time.Millisecond
 	raiseSettles = time.Second
-	// endedKept is how long the end of a limit is told.
-	endedKept = time.Minute
+	// kept is how long the end of a limit is told, and how long a limit is remembered whose instance is not listed any more: its entry may come
+	// back.
+	kept = time.Minute
 )
 
 var counts = expvar.NewMap("instance_limits")
@@ -220,14 +221,14 @@
 	return g.changed
 }
 
-// Sweep forgets limits that ended some time ago and the starts that keep returns false for.
-func (g *Registry) Sweep(keep func(start core.Start) bool) {
+// Sweep forgets limits that ended some time ago, or whose starts are not listed any more.
+func (g *Registry) Sweep(isListed func(start core.Start) bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
 	for start, r := range g.by {
 		g.settle(start, r, now)
-		if !keep(start) || !r.limit.Stated && now.Sub(r.at) > endedKept {
+		if (!isListed(start) || !r.limit.Stated) && now.Sub(r.at) > kept {
 			delete(g.by, start)
 		}
 	}
--- a/quota/registry_test.go
+++ b/quota/registry_test.go
@@ -188,3 +188,28 @@
 		p.Return(clock.Now())
 	}
 }
+
+// TestLimitOutlivesItsEntry guards against a limit that is forgotten while the instance's entry in the list has vanished for a moment.
+func TestLimitOutlivesItsEntry(t *testing.T) {
+	tests := []struct {
+		name   string
+		listed bool
+		after  time.Duration
+		want   Limit
+	}{
+		{"listed", true, time.Hour, one},
+		{"vanished a moment ago", false, time.Second, one},
+		{"vanished long ago", false, kept + time.Second, Limit{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g, clock := newRegistry("a")
+			g.Note(inst, one, clock.Now())
+			clock.Advance(tt.after)
+			g.Sweep(func(core.Start) bool { return tt.listed })
+			if got := g.stated(inst); got != tt.want {
+				t.Errorf("limit %+v, want %+v", got, tt.want)
+			}
+		})
+	}
+}
