Remember a rest while its instance's entry is away for a moment

Cause: as with limits, a rest was forgotten when the instance was not listed for a second. Found by reading; rests end by themselves, within an hour at most. TestRestOfSeveralAnswers covers what is kept until its end; that the list has no part in it needs no test any more, since forget isn't told of the list.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -138,7 +138,7 @@
 	}
 	g.loads.forget(listed)
 	g.quotas.Sweep(listed)
-	g.rests.forget(g.clock.Now(), listed)
+	g.rests.forget(g.clock.Now())
 }
 
 func (g *Gate) draw(n int) int {
--- a/gate/rests.go
+++ b/gate/rests.go
@@ -34,12 +34,12 @@
 	return max(0, r.by[start].Sub(now))
 }
 
-// forget drops rests that are over and the starts that keep returns false for.
-func (r *rests) forget(now time.Time, keep func(start core.Start) bool) {
+// forget drops rests that are over. One of an instance that is not listed is kept: its entry may come back.
+func (r *rests) forget(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for start, until := range r.by {
-		if !keep(start) || !now.Before(until) {
+		if !now.Before(until) {
 			delete(r.by, start)
 		}
 	}
--- a/gate/rests_test.go
+++ b/gate/rests_test.go
@@ -35,7 +35,7 @@
 			if got := r.left(tt.start, now); got != tt.want {
 				t.Errorf("%v left, want %v", got, tt.want)
 			}
-			r.forget(now, func(core.Start) bool { return true })
+			r.forget(now)
 			if got := r.left(tt.start, now); got != tt.want {
 				t.Errorf("%v left after what is over was forgotten, want %v", got, tt.want)
 			}
