--- a/gate/answering.go
+++ b/gate/answering.go
@@ -37,7 +37,7 @@
 		g.log.Warn("statement of an instance can't be understood", "instance", a.in.ID, "born", a.in.Born, "error", a.reply.Invalid)
 	}
 	if a.reply.Leaving {
-		g.gone.Note(a.in.Start(), a.r.call.ID)
+		g.departing.Note(a.in.Start(), a.r.call.ID)
 	}
 	if a.reply.Rest > 0 {
 		g.rests.ask(a.in.Start(), g.clock.Now().Add(a.reply.Rest))
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -158,7 +158,7 @@
 		r.permit.Return(r.g.clock.Now())
 		return verdictUnsent, 0
 	}
-	if r.g.gone.Leaves(in.Start()) || r.g.rests.left(in.Start(), r.g.clock.Now()) > 0 {
+	if r.g.departing.Leaves(in.Start()) || r.g.rests.left(in.Start(), r.g.clock.Now()) > 0 {
 		// It has said so while the connection was opened.
 		conn.Discard()
 		r.permit.Return(r.g.clock.Now())
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -41,23 +41,23 @@
 
 // Gate answers callers; it is safe for use by several goroutines.
 type Gate struct {
-	opts    Options
-	clock   clockwork.Clock
-	log     hclog.Logger
-	view    *view.Keeper
-	dialect Dialect
-	pool    *pool.Pool
-	loads   *loads
-	pulse   *pulse
-	probes  *probes
-	budgets *budgets
-	hasher  *crash.Hasher
-	ends    *crash.Registry
-	quotas  *quota.Registry
-	rests   *rests
-	gone    *leave.Registry
-	repeats *retry.Window
-	meter   *meter.Meter
+	opts      Options
+	clock     clockwork.Clock
+	log       hclog.Logger
+	view      *view.Keeper
+	dialect   Dialect
+	pool      *pool.Pool
+	loads     *loads
+	pulse     *pulse
+	probes    *probes
+	budgets   *budgets
+	hasher    *crash.Hasher
+	ends      *crash.Registry
+	quotas    *quota.Registry
+	rests     *rests
+	departing *leave.Registry
+	repeats   *retry.Window
+	meter     *meter.Meter
 
 	randomMu sync.Mutex
 	random   *rand.Rand
@@ -83,9 +83,9 @@
 	if quotas == nil {
 		quotas = quota.New(opts.Name, clock, log)
 	}
-	gone := opts.Leaving
-	if gone == nil {
-		gone = leave.New(clock, log)
+	departing := opts.Leaving
+	if departing == nil {
+		departing = leave.New(clock, log)
 	}
 	return &Gate{
 		opts:      opts,
@@ -102,7 +102,7 @@
 		ends:      ends,
 		quotas:    quotas,
 		rests:     newRests(),
-		gone:      gone,
+		departing: departing,
 		repeats:   retry.NewWindow(opts.Allowance, opts.Started),
 		meter:     m,
 		neighbors: neighbors{name: opts.Name},
@@ -131,7 +131,7 @@
 	g.pool.Forget(func(t pool.Target) bool { return targets[t] })
 	g.probes.forget(g.clock.Now())
 	g.ends.Sweep()
-	g.gone.Sweep()
+	g.departing.Sweep()
 	listed := func(start core.Start) bool {
 		in, ok := s.Instance(start.ID)
 		return ok && in.Start() == start
--- a/gate/held.go
+++ b/gate/held.go
@@ -17,7 +17,7 @@
 // isHeldBack returns true for an instance that must get no request from this entry now, not even when it is the only one: it leaves, rests, or
 // has no room within its limit.
 func (g *Gate) isHeldBack(start core.Start, fleet quota.Fleet, now time.Time) bool {
-	return g.gone.Leaves(start) || g.rests.left(start, now) > 0 || g.quotas.Wait(start, fleet) > 0
+	return g.departing.Leaves(start) || g.rests.left(start, now) > 0 || g.quotas.Wait(start, fleet) > 0
 }
 
 // roomAt returns how long it takes until a caller may find room at an instance that is held back, and why it is; zero for one that is not.
@@ -35,7 +35,7 @@
 	snap, now := r.g.view.Now(), r.g.clock.Now()
 	fleet := fleetOf(snap)
 	for _, in := range snap.Usable(r.service.Name) {
-		if r.g.gone.Leaves(in.Start()) {
+		if r.g.departing.Leaves(in.Start()) {
 			continue
 		}
 		room, why := r.g.roomAt(in.Start(), fleet, now)
--- a/start/gateway.go
+++ b/start/gateway.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"expvar"
 	"net"
 	"net/http"
 	"os"
@@ -149,31 +147,8 @@
 		MaxHeaderBytes:    maxHead,
 		ErrorLog:          log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{}),
 	}
-	mux := http.NewServeMux()
-	mux.HandleFunc(platform.ReadyPath, g.answerReady)
-	mux.Handle("/debug/vars", expvar.Handler())
-	mux.HandleFunc("/debug/classes", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		if err := json.NewEncoder(w).Encode(counts.Rows()); err != nil {
-			log.Warn("counts not told", "error", err)
-		}
-	})
-	mux.HandleFunc("/debug/ends", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		known, _ := ends.Since(0)
-		if err := json.NewEncoder(w).Encode(known); err != nil {
-			log.Warn("ends not told", "error", err)
-		}
-	})
-	mux.HandleFunc("/debug/limits", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		known, _ := quotas.Since(0)
-		if err := json.NewEncoder(w).Encode(known); err != nil {
-			log.Warn("limits not told", "error", err)
-		}
-	})
 	g.ready = &http.Server{
-		Handler:           mux,
+		Handler:           g.readyMux(counts),
 		ReadHeaderTimeout: headTimeout,
 	}
 	server := &peer.Server{
