--- a/quota/record.go
+++ b/quota/record.go
@@ -24,7 +24,8 @@
 	at time.Time
 	// raised is a higher limit that another entry has told of and that does not hold yet, nil without one.
 	raised *raise
-	// bucket is this entry's part, nil while it holds none; rev and entries are those of the fleet that it was made for.
+	// bucket is this entry's part, nil while it holds none; current is false until it was made for the present limit, and rev and entries are those
+	// of the fleet that it was made for.
 	bucket  *rate.Limiter
 	current bool
 	rev     int64
--- a/quota/registry.go
+++ b/quota/registry.go
@@ -143,8 +143,8 @@
 	return r.wait(g.draw, now)
 }
 
-// Room returns when a caller that can't be served by an instance now may find room there at some entry: an entry without a part of the limit
-// names the time in which the instance takes one request.
+// Room returns how long it takes until a caller that can't be served by an instance now may find room there at some entry: an entry without a
+// part of the limit names the time in which the instance takes one request.
 func (g *Registry) Room(start core.Start, fleet Fleet) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
