Let a rest hold for the start that asked for it, though the entry hasn't heard of that start

Cause: the rest was kept for the start that the entry knew; the list told it of the new one a moment later, for which no rest was known. A rest is kept by id now, and holds for a later start that had begun when it was asked for, by the two clocks and two seconds between them. Ruled out as an excuse: the freeze ended 4 ms before the rest was asked for.

--- a/gate/answering.go
+++ b/gate/answering.go
@@ -40,7 +40,8 @@
 		g.departing.Note(a.in.Start(), a.r.call.ID)
 	}
 	if a.reply.Rest > 0 {
-		g.rests.ask(a.in.Start(), g.clock.Now().Add(a.reply.Rest))
+		now := g.clock.Now()
+		g.rests.ask(a.in.Start(), now, now.Add(a.reply.Rest))
 		g.log.Info("instance asks for rest", "instance", a.in.ID, "born", a.in.Born, "id", a.r.call.ID, "ms", a.reply.Rest.Milliseconds())
 	}
 	if !a.reply.LimitUnclear {
