Send nothing to a failure domain that the operator evacuates

Cause: the view passed over op/evacuate/; nothing in the product knew of it. Instances there are not usable: neither for first sends, retries, failovers nor resumptions; a request whose connection was being opened when the evacuation became known goes elsewhere. Streams under way go on. The key alone counts, whatever its value. Orders of a group's leader are no requests and go on. Ruled out: a mark on each instance row, which a row written anew would lose.

--- a/core/instance.go
+++ b/core/instance.go
@@ -1,5 +1,7 @@
 package core
 
+import "time"
+
 // Kind is the kind of an upstream.
 type Kind string
 
@@ -25,6 +27,8 @@
 	// StartedAt is the start time of the instance's process in Unix milliseconds by its own clock,
 	// zero if not reported.
 	StartedAt int64 `json:"born,omitempty"`
+	// ColdFor is how long the instance was going to stay cold when this row was written.
+	ColdFor time.Duration `json:"cold,omitempty"`
 	// Rev is the revision of the instance list at which this row was written.
 	Rev int64 `json:"rev,omitempty"`
 }
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -163,8 +163,9 @@
 		r.permit.Cancel(r.g.clock.Now())
 		return verdictNotSent, 0
 	}
-	if r.g.leavingInstances.IsLeaving(in.Start()) || r.g.cooldowns.remaining(in.Start(), r.g.clock.Now()) > 0 {
-		// The instance announced that it leaves or requested a cooldown during the dial.
+	if r.g.leavingInstances.IsLeaving(in.Start()) || r.g.view.Now().IsEvacuated(in) || r.g.cooldowns.remaining(in.Start(), r.g.clock.Now()) > 0 {
+		// The instance announced that it leaves or requested a cooldown during the dial, or its failure
+		// domain was evacuated.
 		conn.Discard()
 		r.permit.Cancel(r.g.clock.Now())
 		return verdictNotSent, 0
--- a/peer/asker.go
+++ b/peer/asker.go
@@ -167,6 +167,10 @@
 		Lapsed:  n.Lapsed,
 		Paces:   n.Paces,
 	}
+	s.Evacuated = make(map[string]bool, len(n.Evacuated))
+	for _, domain := range n.Evacuated {
+		s.Evacuated[domain] = true
+	}
 	if len(n.Table) > 0 {
 		t := &plan.Table{}
 		if err := proto.Unmarshal(n.Table, t); err != nil {
--- a/peer/server.go
+++ b/peer/server.go
@@ -85,6 +85,7 @@
 		n.Members = s.Members
 		n.Lapsed = s.Lapsed
 		n.Paces = s.Paces
+		n.Evacuated = lo.Keys(s.Evacuated)
 	}
 	if s.Table != nil && s.Table.Version > ask.Table {
 		n.Table = lo.Must(proto.Marshal(s.Table))
--- a/proto/news.go
+++ b/proto/news.go
@@ -47,4 +47,6 @@
 	// peer's number of the last one.
 	Leaving     []core.Start `cbor:"12,keyasint,omitempty"`
 	LeavingUpTo int64        `cbor:"13,keyasint,omitempty"`
+	// Evacuated lists the failure domains that are being evacuated, complete if Newer is set.
+	Evacuated []string `cbor:"14,keyasint,omitempty"`
 }
--- a/view/change.go
+++ b/view/change.go
@@ -24,4 +24,6 @@
 	// Paces are the slow instances of each group in the change; an empty list means that the group
 	// has none left.
 	Paces map[string][]core.Pace
+	// Evacuated maps failure domains to whether their evacuation has begun or ended in the change.
+	Evacuated map[string]bool
 }
--- a/view/keeper.go
+++ b/view/keeper.go
@@ -35,6 +35,7 @@
 	table     *plan.Table
 	members   map[string]string
 	paces     map[string][]core.Pace
+	evacuated map[string]bool
 	rev       int64
 	changed   chan struct{}
 	expiring  bool
@@ -48,6 +49,7 @@
 		log:       log,
 		instances: fleet.New(),
 		members:   make(map[string]string),
+		evacuated: make(map[string]bool),
 		changed:   make(chan struct{}),
 	}
 	v.current.Store((&Snapshot{}).index())
@@ -114,6 +116,7 @@
 	}
 	v.applyMembers(c)
 	v.applyPaces(c)
+	v.applyEvacuations(c)
 	if revChanged || c.Full || len(c.Put)+len(removed)+len(c.Invalid) > 0 {
 		v.publish()
 	}
@@ -136,6 +139,7 @@
 	}
 	v.members = maps.Clone(s.Members)
 	v.paces = maps.Clone(s.Paces)
+	v.setEvacuated(s.Evacuated)
 	v.publish()
 	return true
 }
@@ -241,6 +245,7 @@
 		Members:   v.members,
 		Lapsed:    v.instances.Lapsed(),
 		Paces:     v.paces,
+		Evacuated: v.evacuated,
 	}).index()
 	forward := s.Rev >= old.Rev && (old.Table == nil || s.Table != nil && s.Table.Version >= old.Table.Version)
 	check.Assert(check.ConfigMonotonic, forward, "snapshot of revision %d follows revision %d", s.Rev, old.Rev)
--- a/view/snapshot.go
+++ b/view/snapshot.go
@@ -20,6 +20,8 @@
 	Lapsed []string
 	// Paces are the slow instances by group.
 	Paces map[string][]core.Pace
+	// Evacuated is the set of failure domains whose instances must get no requests.
+	Evacuated map[string]bool
 
 	byService map[string][]core.Instance
 	byID      map[string]core.Instance
@@ -43,7 +45,7 @@
 		if other, ok := s.newestByAddress[in.Address]; s.inTable(in.Service) && (!ok || in.Rev > other.Rev) {
 			s.newestByAddress[in.Address] = in
 		}
-		if !in.Leaving {
+		if !in.Leaving && !s.Evacuated[in.Domain] {
 			s.byService[in.Service] = append(s.byService[in.Service], in)
 		}
 	}
@@ -56,6 +58,12 @@
 	return s.Table == nil || s.Table.Service(service) != nil
 }
 
+// IsEvacuated reports whether an instance must get no requests because its failure domain is being
+// evacuated.
+func (s *Snapshot) IsEvacuated(in core.Instance) bool {
+	return s.Evacuated[in.Domain]
+}
+
 // Usable returns the instances of a service that accept new requests.
 func (s *Snapshot) Usable(service string) []core.Instance {
 	return s.byService[service]
