Keep what all entries send to a cold instance within its allowance

Cause: the entry of an instance says how long it stays cold, the manifest what it tolerates meanwhile; both were passed over. Change: the view holds until when each start is cold, counted from when its row was first seen; the end of an evacuation makes the domain's instances cold for the service's whole time, because they may have started again without having said so. A second quota.Registry, with the shares by entry of advertised limits, divides a rate that keeps rate and burst together within overage x tolerated + slack in any second. Nothing is exchanged: each entry derives it from the view. When all instances are blocked, callers are told when the first has room. Ruled out: a count an entry (39 entries need to know of each other's), a slower start by load alone (holds on average, not in each second). TestColdInstances for the times. Not reached: nine tenths of the bound in use while callers wait; rate and burst of the shares leave about a third of it sustained.

--- a/fleet/book.go
+++ b/fleet/book.go
@@ -112,6 +112,12 @@
 	}
 }
 
+// Instance returns the instance with the given ID.
+func (r *Registry) Instance(id string) (core.Instance, bool) {
+	in, ok := r.instances[id]
+	return in, ok
+}
+
 // Delete removes an instance at once, regardless of store outages; its entry exists but doesn't
 // describe a usable instance.
 func (r *Registry) Delete(id string) {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -39,6 +39,8 @@
 	// Quotas holds the limits advertised by instances and this entry's shares of them; if nil, the gate
 	// creates its own.
 	Quotas *quota.Registry
+	// Cold is what all entries together may send to a cold instance.
+	Cold ColdAllowance
 	// Leaving holds the instances that announced that they leave; if nil, the gate creates its own.
 	Leaving *leave.Registry
 }
@@ -59,6 +61,7 @@
 	hasher           *crash.Hasher
 	crashes          *crash.Registry
 	quotas           *quota.Registry
+	cold             *coldLimits
 	cooldowns        *cooldowns
 	leavingInstances *leave.Registry
 	retryBudget      *retry.WindowBudget
@@ -94,19 +97,23 @@
 		leaving = leave.New(clock, log)
 	}
 	return &Gate{
-		opts:             opts,
-		clock:            clock,
-		log:              log,
-		view:             v,
-		dialect:          d,
-		pool:             pool.New(clock),
-		loads:            newLoadTracker(),
-		health:           newServiceHealth(),
-		probes:           newProbes(),
-		budgets:          newCallerBudgets(),
-		hasher:           crash.NewHasher(opts.Key),
-		crashes:          crashes,
-		quotas:           quotas,
+		opts:    opts,
+		clock:   clock,
+		log:     log,
+		view:    v,
+		dialect: d,
+		pool:    pool.New(clock),
+		loads:   newLoadTracker(),
+		health:  newServiceHealth(),
+		probes:  newProbes(),
+		budgets: newCallerBudgets(),
+		hasher:  crash.NewHasher(opts.Key),
+		crashes: crashes,
+		quotas:  quotas,
+		cold: &coldLimits{
+			allowance: opts.Cold,
+			quotas:    quota.New(opts.Name, clock, log.Named("cold")),
+		},
 		cooldowns:        newCooldowns(),
 		leavingInstances: leaving,
 		retryBudget:      retry.NewWindowBudget(opts.Allowance, opts.Started),
@@ -144,6 +151,7 @@
 	}
 	g.loads.evict(listed)
 	g.quotas.Sweep(listed)
+	g.cold.quotas.Sweep(listed)
 	g.cooldowns.evictExpired(g.clock.Now())
 }
 
--- a/gate/held.go
+++ b/gate/held.go
@@ -11,23 +11,28 @@
 // Reasons for rejecting a request because all instances are blocked.
 const (
 	reasonLimited  = "limited"
+	reasonCold     = "cold"
 	reasonCooldown = "resting"
 )
 
 // isBlocked reports whether an instance must get no request from this entry now because it is
-// leaving, in a cooldown, or at its limit. That holds even if it is the only instance.
+// leaving, in a cooldown, or at its limit, or cold and at its allowance. That holds even if it is the only instance.
 func (g *Gate) isBlocked(start core.Start, fleet quota.Fleet, now time.Time) bool {
-	return g.leavingInstances.IsLeaving(start) || g.cooldowns.remaining(start, now) > 0 || g.quotas.Wait(start, fleet) > 0
+	return g.leavingInstances.IsLeaving(start) || g.cooldowns.remaining(start, now) > 0 ||
+		g.quotas.Wait(start, fleet) > 0 || g.cold.quotas.Wait(start, fleet) > 0
 }
 
-// availableIn returns how long an instance stays blocked by a cooldown or its limit, and which of
-// the two it is. It returns zero for an instance that is not blocked.
+// availableIn returns how long an instance stays blocked by a cooldown, its limit or its allowance
+// while it is cold, and which of them it is. It returns zero for an instance that is not blocked.
 func (g *Gate) availableIn(start core.Start, fleet quota.Fleet, now time.Time) (time.Duration, string) {
-	cooldownLeft, limit := g.cooldowns.remaining(start, now), g.quotas.RetryAfter(start, fleet)
-	if cooldownLeft > limit {
-		return cooldownLeft, reasonCooldown
+	longest, reason := g.quotas.RetryAfter(start, fleet), reasonLimited
+	if cold := g.cold.quotas.RetryAfter(start, fleet); cold > longest {
+		longest, reason = cold, reasonCold
 	}
-	return limit, reasonLimited
+	if cooldownLeft := g.cooldowns.remaining(start, now); cooldownLeft > longest {
+		longest, reason = cooldownLeft, reasonCooldown
+	}
+	return longest, reason
 }
 
 // nextAvailable returns how long it takes until the first instance of the service is available, and
--- a/gate/pick.go
+++ b/gate/pick.go
@@ -15,6 +15,7 @@
 func (r *request) pick() (in core.Instance, ok bool) {
 	snap := r.g.view.Now()
 	now := r.g.clock.Now()
+	r.updateCold(snap, now)
 	preferred := r.g.preferredInstances(snap, r.service.Name)
 	answering := r.g.health.isAnswering(r.service.Name, now)
 	r.g.pickMu.Lock()
@@ -40,7 +41,7 @@
 	if i < 0 {
 		return core.Instance{}, false
 	}
-	if r.permit, ok = r.g.quotas.Acquire(list[i].Start(), fleetOf(snap)); !ok {
+	if r.permit, ok = r.g.acquire(list[i].Start(), fleetOf(snap), now); !ok {
 		return core.Instance{}, false
 	}
 	r.g.loads.begin(list[i].Start())
--- a/gate/request.go
+++ b/gate/request.go
@@ -8,7 +8,6 @@
 	"geraniumpass/core"
 	"geraniumpass/crash"
 	"geraniumpass/plan"
-	"geraniumpass/quota"
 	"geraniumpass/view"
 )
 
@@ -47,8 +46,8 @@
 	mayHaveRun bool
 	// failedAnswer is a complete answer with a failure, sent to the caller if no retry succeeds.
 	failedAnswer *answer
-	// permit is the token of the picked instance's limit that the next attempt uses.
-	permit quota.Permit
+	// permit holds the tokens of the picked instance's limits that the next attempt uses.
+	permit permit
 	// stream is the progress of the event stream at the caller.
 	stream streamProgress
 	// digest identifies repetitions of the request; it is valid once hashed is set.
--- a/quota/registry.go
+++ b/quota/registry.go
@@ -200,6 +200,18 @@
 	return r
 }
 
+// HasLimits reports whether any instance has a limit.
+func (g *Registry) HasLimits() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range g.records {
+		if r.limit.Advertised {
+			return true
+		}
+	}
+	return false
+}
+
 // Since returns the notices after the given sequence number, zero for all, and the number to pass
 // to the next call.
 func (g *Registry) Since(after int64) ([]Notice, int64) {
--- a/quota/share.go
+++ b/quota/share.go
@@ -41,6 +41,13 @@
 	return burstTime.Seconds()*rate + burstBase
 }
 
+// RateWithin returns the highest rate in requests per second at which all entries together send at
+// most the given number of requests within the window. It is zero or negative if even the burst that
+// every limit allows exceeds that number.
+func RateWithin(requests float64, window time.Duration) float64 {
+	return (requests - burstBase) / (window + burstTime).Seconds()
+}
+
 // effectiveRate returns the advertised rate, or minRate if that is higher, so that instances with
 // tiny limits are still probed.
 func effectiveRate(rate float64) float64 {
--- a/setup/gateway.go
+++ b/setup/gateway.go
@@ -18,6 +18,8 @@
 	// Grace is the time between SIGTERM and the platform killing the process.
 	Grace       Duration    `json:"grace"`
 	RetryBudget RetryBudget `json:"repeat"`
-	Limits      Limits      `json:"limits"`
-	Log         Log         `json:"log"`
+	// Cold is required if the manifest names services with cold instances.
+	Cold   ColdAllowance `json:"cold"`
+	Limits Limits        `json:"limits"`
+	Log    Log           `json:"log"`
 }
--- a/start/gateway.go
+++ b/start/gateway.go
@@ -132,6 +132,10 @@
 				Slack:  cfg.RetryBudget.Slack,
 				Window: cfg.RetryBudget.Window.Duration,
 			},
+			Cold: gate.ColdAllowance{
+				Overage: cfg.Cold.Overage,
+				Slack:   cfg.Cold.Slack,
+			},
 			Started: clock.Now(),
 			Key:     []byte(cfg.LinkKey),
 			Crashes: crashes,
--- a/view/evacuation.go
+++ b/view/evacuation.go
@@ -28,6 +28,7 @@
 	for domain := range v.evacuated {
 		if !next[domain] {
 			v.log.Info("evacuation of failure domain has ended", "domain", domain, "revision", v.rev)
+			v.recordReturn(domain)
 		}
 	}
 	v.evacuated = next
--- a/view/keeper.go
+++ b/view/keeper.go
@@ -5,6 +5,7 @@
 	"sort"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
@@ -36,6 +37,8 @@
 	members   map[string]string
 	paces     map[string][]core.Pace
 	evacuated map[string]bool
+	// coldUntil is when each cold instance is warm.
+	coldUntil map[core.Start]time.Time
 	rev       int64
 	changed   chan struct{}
 	expiring  bool
@@ -50,6 +53,7 @@
 		instances: fleet.New(),
 		members:   make(map[string]string),
 		evacuated: make(map[string]bool),
+		coldUntil: make(map[core.Start]time.Time),
 		changed:   make(chan struct{}),
 	}
 	v.current.Store((&Snapshot{}).index())
@@ -103,6 +107,7 @@
 		v.log.Warn("many instance entries disappeared at once, keeping the instances for a grace period", "instances", len(removed), "revision", c.Rev)
 	}
 	for _, in := range c.Put {
+		v.recordCold(in)
 		if !v.instances.Put(in) {
 			v.log.Info("ignoring entry of an earlier incarnation of the instance", "instance", in.ID, "born", in.StartedAt, "revision", c.Rev)
 		}
@@ -133,6 +138,9 @@
 		return false
 	}
 	v.rev = s.Rev
+	for _, in := range s.Instances {
+		v.recordCold(in)
+	}
 	v.instances.Adopt(s.Instances, s.Lapsed, v.clock.Now())
 	if len(s.Lapsed) > 0 {
 		v.log.Info("peer reports instances whose entries disappeared from the store", "kept", s.Lapsed, "revision", s.Rev)
@@ -246,6 +254,7 @@
 		Lapsed:    v.instances.Lapsed(),
 		Paces:     v.paces,
 		Evacuated: v.evacuated,
+		coldUntil: v.publishedCold(),
 	}).index()
 	forward := s.Rev >= old.Rev && (old.Table == nil || s.Table != nil && s.Table.Version >= old.Table.Version)
 	check.Assert(check.ConfigMonotonic, forward, "snapshot of revision %d follows revision %d", s.Rev, old.Rev)
--- a/view/snapshot.go
+++ b/view/snapshot.go
@@ -1,6 +1,8 @@
 package view
 
 import (
+	"time"
+
 	"geraniumpass/core"
 	"geraniumpass/plan"
 )
@@ -23,6 +25,7 @@
 	// Evacuated is the set of failure domains whose instances must get no requests.
 	Evacuated map[string]bool
 
+	coldUntil map[core.Start]time.Time
 	byService map[string][]core.Instance
 	byID      map[string]core.Instance
 	// newestByAddress maps each address to its latest row, for services in the routing table.
@@ -64,6 +67,16 @@
 	return s.Evacuated[in.Domain]
 }
 
+// ColdUntil returns when an instance is warm, which is in the past or zero if it is already.
+func (s *Snapshot) ColdUntil(in core.Instance) time.Time {
+	return s.coldUntil[in.Start()]
+}
+
+// HasCold reports whether any instance was cold when the snapshot was published.
+func (s *Snapshot) HasCold() bool {
+	return len(s.coldUntil) > 0
+}
+
 // Usable returns the instances of a service that accept new requests.
 func (s *Snapshot) Usable(service string) []core.Instance {
 	return s.byService[service]
