Tell peers what changed, not everything

Change: the view remembers which keys changed at which revision (values aren't kept; 4,096 keys) and answers a peer with the present state of those that changed after the peer's revision. Lapsed instances keep their rules: a removed one that the peer keeps is kept for the same grace, and those that lapsed here in an outage get a bounded time, since the peer has reached the store. Evidence: TestUpdateSizeFollowsTheChange, an update for one changed row, before: 1,148 / 5,308 / 12,490 / 54,450 / 108,884 bytes at 9 / 42 / 99 / 432 / 864 entries (exponent 1); now under 600 at each. TestDeltasLeadToTheSameState (random changes, two entries that learn by deltas) fails at once with removals left out of the log.

--- a/fleet/book.go
+++ b/fleet/book.go
@@ -148,6 +148,30 @@
 	}
 }
 
+// RemoveAtPeer removes instances whose entries have disappeared according to another process. Those
+// that it keeps as lapsed are kept for ReregisterGrace. That process has reached the store, so
+// instances that lapsed here in an outage have had their chance to register again as well, and get
+// the same time.
+func (r *Registry) RemoveAtPeer(removed, lapsed []string, now time.Time) {
+	until := now.Add(ReregisterGrace)
+	for id, end := range r.lapsed {
+		if end.IsZero() {
+			r.lapsed[id] = until
+		}
+	}
+	keep := make(map[string]bool, len(lapsed))
+	for _, id := range lapsed {
+		keep[id] = true
+	}
+	for _, id := range removed {
+		if _, known := r.instances[id]; known && keep[id] {
+			r.lapsed[id] = until
+			continue
+		}
+		r.Delete(id)
+	}
+}
+
 // Replace applies a full list; instances missing from it are handled as by Remove.
 func (r *Registry) Replace(list []core.Instance, now time.Time) {
 	listed := make(map[string]bool, len(list))
--- a/peer/asker.go
+++ b/peer/asker.go
@@ -9,7 +9,6 @@
 
 	"geraniumpass/core"
 	"geraniumpass/crash"
-	"geraniumpass/plan"
 	"geraniumpass/proto"
 	"geraniumpass/quota"
 	"geraniumpass/retry"
@@ -130,6 +129,7 @@
 			TerminationsAfter: last.TerminationsUpTo,
 			LimitsAfter:       last.LimitsUpTo,
 			LeavingAfter:      last.LeavingUpTo,
+			AcceptsDelta:      true,
 		}
 		if s.Table != nil {
 			q.Table = s.Table.Version
@@ -161,35 +161,12 @@
 	p.Terminations.Merge(n.Terminations)
 	p.Quotas.Merge(n.Limits)
 	p.Leaving.Merge(n.Leaving)
-	s := &view.Snapshot{
-		Rev:     n.Rev,
-		Members: n.Members,
-		Lapsed:  n.Lapsed,
-		Paces:   n.Paces,
-	}
-	s.Evacuated = make(map[string]bool, len(n.Evacuated))
-	for _, domain := range n.Evacuated {
-		s.Evacuated[domain] = true
-	}
-	if len(n.Table) > 0 {
-		t := &plan.Table{}
-		if err := proto.Unmarshal(n.Table, t); err != nil {
-			p.Log.Error("decoding a peer's routing table failed", "error", err)
-			return
-		}
-		s.Table = t.Compile()
-	}
-	if n.Newer {
-		var list []core.Instance
-		if err := proto.Unmarshal(n.Instances, &list); err != nil {
-			p.Log.Error("decoding a peer's instance list failed", "error", err)
-			return
-		}
-		s.Instances = list
-	} else {
-		s.Rev = 0
+	adopted, err := adopt(p.View, n)
+	if err != nil {
+		p.Log.Error("decoding a peer's update failed", "error", err)
+		return
 	}
-	if p.View.Adopt(s) {
-		p.Log.Info("adopted a newer snapshot from a peer", "rev", n.Rev)
+	if adopted {
+		p.Log.Info("adopted a newer snapshot from a peer", "rev", n.Rev, "delta", n.Delta)
 	}
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/samber/lo"
-
 	"geraniumpass/crash"
 	"geraniumpass/leave"
 	"geraniumpass/proto"
@@ -63,32 +61,21 @@
 
 // update returns what the peer lacks and reports whether there is anything.
 func (s *Server) update(ask *proto.UpdateRequest) (n *proto.Update, hasUpdate bool) {
-	snap := s.View.Now()
-	n = snapshotUpdate(snap, ask)
-	// These are read after the snapshot, so that they include everything that was read with it.
+	n = s.stateUpdate(ask)
+	// These are read after the state, so that they include everything that was read with it.
 	n.Terminations, n.TerminationsUpTo = s.Terminations.Since(ask.TerminationsAfter)
 	n.Limits, n.LimitsUpTo = s.Quotas.Since(ask.LimitsAfter)
 	n.Leaving, n.LeavingUpTo = s.Leaving.Since(ask.LeavingAfter)
 	return n, n.Newer || len(n.Table) > 0 || len(n.Terminations)+len(n.Limits)+len(n.Leaving) > 0
 }
 
-// snapshotUpdate returns the lists and the table of a snapshot if the peer lacks them.
-func snapshotUpdate(s *view.Snapshot, ask *proto.UpdateRequest) *proto.Update {
-	n := &proto.Update{
-		Rev:   s.Rev,
-		Newer: s.Rev > ask.Rev,
-	}
-	// Encoding our own plain structs can't fail. The long lists are sent only to peers that lack
-	// them, because terminations arrive one by one and each triggers an update.
-	if n.Newer {
-		n.Instances = lo.Must(proto.Marshal(s.Instances))
-		n.Members = s.Members
-		n.Lapsed = s.Lapsed
-		n.Paces = s.Paces
-		n.Evacuated = lo.Keys(s.Evacuated)
-	}
-	if s.Table != nil && s.Table.Version > ask.Table {
-		n.Table = lo.Must(proto.Marshal(s.Table))
+// stateUpdate returns what changed since the peer's revision, or the full state if the peer doesn't
+// understand that or lags too far behind.
+func (s *Server) stateUpdate(ask *proto.UpdateRequest) *proto.Update {
+	if ask.AcceptsDelta && ask.Rev > 0 {
+		if d, ok := s.View.Since(ask.Rev); ok {
+			return deltaUpdate(d, ask)
+		}
 	}
-	return n
+	return snapshotUpdate(s.View.Now(), ask)
 }
--- /dev/null
+++ b/peer/update.go
@@ -0,0 +1,124 @@
+package peer
+
+import (
+	"github.com/samber/lo"
+
+	"geraniumpass/core"
+	"geraniumpass/plan"
+	"geraniumpass/proto"
+	"geraniumpass/view"
+)
+
+// snapshotUpdate returns the lists and the table of a snapshot if the peer lacks them.
+func snapshotUpdate(s *view.Snapshot, ask *proto.UpdateRequest) *proto.Update {
+	n := &proto.Update{
+		Rev:   s.Rev,
+		Newer: s.Rev > ask.Rev,
+		Table: tableUpdate(s.Table, ask),
+	}
+	// The long lists are sent only to peers that lack them, because terminations arrive one by one and
+	// each triggers an update.
+	if n.Newer {
+		n.Instances = lo.Must(proto.Marshal(s.Instances))
+		n.Members = s.Members
+		n.Lapsed = s.Lapsed
+		n.Paces = s.Paces
+		n.Evacuated = lo.Keys(s.Evacuated)
+	}
+	return n
+}
+
+// deltaUpdate returns what changed after the peer's revision.
+func deltaUpdate(d view.Delta, ask *proto.UpdateRequest) *proto.Update {
+	n := &proto.Update{
+		Rev:   d.Change.Rev,
+		Newer: d.Change.Rev > ask.Rev,
+		Table: tableUpdate(d.Change.Table, ask),
+	}
+	if n.Newer {
+		n.Delta, n.After = true, d.After
+		n.Instances = lo.Must(proto.Marshal(d.Change.Put))
+		n.InstancesRemoved = d.Change.Removed
+		n.Members, n.MembersRemoved = d.Change.Members, d.Change.MembersRemoved
+		n.Lapsed = d.Lapsed
+		n.Paces = d.Change.Paces
+		n.Evacuated = lo.Keys(lo.PickBy(d.Change.Evacuated, func(_ string, on bool) bool { return on }))
+		n.EvacuationsEnded = lo.Keys(lo.OmitBy(d.Change.Evacuated, func(_ string, on bool) bool { return on }))
+	}
+	return n
+}
+
+// tableUpdate returns the encoded table if it is newer than the peer's. Encoding our own plain
+// structs can't fail.
+func tableUpdate(t *plan.Table, ask *proto.UpdateRequest) []byte {
+	if t == nil || t.Version <= ask.Table {
+		return nil
+	}
+	return lo.Must(proto.Marshal(t))
+}
+
+// adopt merges the state in an update from a peer into a view and reports whether it was newer.
+func adopt(v *view.Cache, n *proto.Update) (bool, error) {
+	table, err := decodeTable(n.Table)
+	if err != nil {
+		return false, err
+	}
+	var list []core.Instance
+	if n.Newer {
+		if err := proto.Unmarshal(n.Instances, &list); err != nil {
+			return false, err
+		}
+	}
+	switch {
+	case !n.Newer:
+		return v.Adopt(&view.Snapshot{Table: table}), nil
+	case n.Delta:
+		return v.AdoptDelta(view.Delta{
+			After: n.After,
+			Change: view.Change{
+				Rev:            n.Rev,
+				Table:          table,
+				Put:            list,
+				Removed:        n.InstancesRemoved,
+				Members:        n.Members,
+				MembersRemoved: n.MembersRemoved,
+				Paces:          n.Paces,
+				Evacuated:      evacuations(n),
+			},
+			Lapsed: n.Lapsed,
+		}), nil
+	}
+	return v.Adopt(&view.Snapshot{
+		Rev:       n.Rev,
+		Table:     table,
+		Instances: list,
+		Members:   n.Members,
+		Lapsed:    n.Lapsed,
+		Paces:     n.Paces,
+		Evacuated: evacuations(n),
+	}), nil
+}
+
+// decodeTable returns nil if there is no table.
+func decodeTable(b []byte) (*plan.Table, error) {
+	if len(b) == 0 {
+		return nil, nil //nolint:nilnil // no table is a valid update
+	}
+	t := &plan.Table{}
+	if err := proto.Unmarshal(b, t); err != nil {
+		return nil, err
+	}
+	return t.Compile(), nil
+}
+
+// evacuations returns the evacuations that an update says have begun or ended.
+func evacuations(n *proto.Update) map[string]bool {
+	out := make(map[string]bool, len(n.Evacuated)+len(n.EvacuationsEnded))
+	for _, domain := range n.Evacuated {
+		out[domain] = true
+	}
+	for _, domain := range n.EvacuationsEnded {
+		out[domain] = false
+	}
+	return out
+}
--- a/proto/news.go
+++ b/proto/news.go
@@ -19,6 +19,8 @@
 	LimitsAfter int64 `cbor:"5,keyasint,omitempty"`
 	// LeavingAfter is LeavingUpTo of the peer's last update on this link, or zero before the first.
 	LeavingAfter int64 `cbor:"6,keyasint,omitempty"`
+	// AcceptsDelta reports that the requester understands updates with Delta set.
+	AcceptsDelta bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Update answers an UpdateRequest with the peer's revision and the state that is newer than
@@ -27,7 +29,7 @@
 	Rev int64 `cbor:"1,keyasint"`
 	// Table is a routing table, empty when the requester already has it.
 	Table []byte `cbor:"2,keyasint,omitempty"`
-	// Instances and Members are complete if Newer is set.
+	// Instances and Members are complete if Newer is set and Delta is not.
 	Newer     bool              `cbor:"3,keyasint,omitempty"`
 	Instances []byte            `cbor:"4,keyasint,omitempty"`
 	Members   map[string]string `cbor:"5,keyasint,omitempty"`
@@ -37,7 +39,7 @@
 	// peer's number of the last one.
 	Terminations     []crash.Termination `cbor:"7,keyasint,omitempty"`
 	TerminationsUpTo int64               `cbor:"8,keyasint,omitempty"`
-	// Paces lists the slow instances by group, complete if Newer is set.
+	// Paces lists the slow instances by group, complete if Newer is set and Delta is not.
 	Paces map[string][]core.Pace `cbor:"9,keyasint,omitempty"`
 	// Limits are the limits reported by instances after those requested; LimitsUpTo is the peer's
 	// number of the last one.
@@ -47,6 +49,14 @@
 	// peer's number of the last one.
 	Leaving     []core.Start `cbor:"12,keyasint,omitempty"`
 	LeavingUpTo int64        `cbor:"13,keyasint,omitempty"`
-	// Evacuated lists the failure domains that are being evacuated, complete if Newer is set.
+	// Evacuated lists the failure domains that are being evacuated, complete if Newer is set and Delta
+	// is not.
 	Evacuated []string `cbor:"14,keyasint,omitempty"`
+	// Delta is set if the lists contain only what changed after revision After, which is that of the
+	// request. InstancesRemoved, MembersRemoved and EvacuationsEnded then name what is gone.
+	Delta            bool     `cbor:"15,keyasint,omitempty"`
+	After            int64    `cbor:"19,keyasint,omitempty"`
+	InstancesRemoved []string `cbor:"16,keyasint,omitempty"`
+	MembersRemoved   []string `cbor:"17,keyasint,omitempty"`
+	EvacuationsEnded []string `cbor:"18,keyasint,omitempty"`
 }
--- /dev/null
+++ b/view/delta.go
@@ -0,0 +1,90 @@
+package view
+
+import "geraniumpass/core"
+
+// Delta is what changed between two revisions, as known to one entry.
+type Delta struct {
+	// After is the revision up to which the receiver must know the state.
+	After  int64
+	Change Change
+	// Lapsed lists all instances that are kept although their entry has disappeared.
+	Lapsed []string
+}
+
+// Since returns what changed after a revision. ok is false if the changes since then aren't
+// remembered, so that only a full snapshot helps.
+func (v *Cache) Since(after int64) (d Delta, ok bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	events, ok := v.changes.since(after)
+	if !ok {
+		return Delta{}, false
+	}
+	d = Delta{
+		After: after,
+		Change: Change{
+			Rev:       v.rev,
+			Table:     v.table,
+			Members:   make(map[string]string),
+			Paces:     make(map[string][]core.Pace),
+			Evacuated: make(map[string]bool),
+		},
+		Lapsed: v.instances.Lapsed(),
+	}
+	seen := make(map[changeKey]bool, len(events))
+	for _, e := range events {
+		if !seen[e.key] {
+			seen[e.key] = true
+			v.addCurrent(&d.Change, e.key)
+		}
+	}
+	return d, true
+}
+
+// addCurrent adds the present state of a key to a change.
+func (v *Cache) addCurrent(c *Change, key changeKey) {
+	switch key.kind {
+	case keyInstance:
+		if in, ok := v.instances.Instance(key.name); ok && !v.instances.IsLapsed(key.name) {
+			c.Put = append(c.Put, in)
+		} else {
+			c.Removed = append(c.Removed, key.name)
+		}
+	case keyMember:
+		if address, ok := v.members[key.name]; ok {
+			c.Members[key.name] = address
+		} else {
+			c.MembersRemoved = append(c.MembersRemoved, key.name)
+		}
+	case keyPaces:
+		c.Paces[key.name] = v.paces[key.name]
+	case keyEvacuation:
+		c.Evacuated[key.name] = v.evacuated[key.name]
+	}
+}
+
+// AdoptDelta merges what a peer knows to have changed and reports whether that was newer. Unlike a
+// change from the store, it may lack what this entry already knows, so it applies only to a revision
+// between its two.
+func (v *Cache) AdoptDelta(d Delta) bool {
+	defer v.startExpiry()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.applyTable(d.Change.Table)
+	if d.Change.Rev <= v.rev || v.rev < d.After {
+		return false
+	}
+	v.rev = d.Change.Rev
+	now := v.clock.Now()
+	for _, in := range d.Change.Put {
+		v.recordCold(in)
+		v.instances.Put(in)
+	}
+	v.instances.RemoveAtPeer(d.Change.Removed, d.Lapsed, now)
+	v.applyMembers(d.Change)
+	v.applyPaces(d.Change)
+	v.applyEvacuations(d.Change)
+	v.changes.record(d.Change)
+	v.publish()
+	return true
+}
--- a/view/keeper.go
+++ b/view/keeper.go
@@ -40,6 +40,7 @@
 	// coldUntil is when each cold instance is warm.
 	coldUntil map[core.Start]time.Time
 	rev       int64
+	changes   changeLog
 	changed   chan struct{}
 	expiring  bool
 }
@@ -122,6 +123,7 @@
 	v.applyMembers(c)
 	v.applyPaces(c)
 	v.applyEvacuations(c)
+	v.changes.record(c)
 	if revChanged || c.Full || len(c.Put)+len(removed)+len(c.Invalid) > 0 {
 		v.publish()
 	}
@@ -145,9 +147,11 @@
 	if len(s.Lapsed) > 0 {
 		v.log.Info("peer reports instances whose entries disappeared from the store", "kept", s.Lapsed, "revision", s.Rev)
 	}
-	v.members = maps.Clone(s.Members)
+	v.members = make(map[string]string, len(s.Members))
+	maps.Copy(v.members, s.Members)
 	v.paces = maps.Clone(s.Paces)
 	v.setEvacuated(s.Evacuated)
+	v.changes.restart(s.Rev)
 	v.publish()
 	return true
 }
