Let a few entries watch the store, and have the others know how recent their state is

Cause, a law: each entry held a watch of its own, so that calls are entries x (renewals + changes). Change: of n entries the first max(12, sqrt n) in a rendezvous order watch; the others poll three of them. Now each update says how long ago its sender's state was the store's, counted without clocks of others: request sent + time held - age is never later than the truth. An entry whose state is not confirmed for 0.7 of the bound (the shorter of the operator's bounds for configuration and departures, a new setting) calls the store itself. So whatever fails silently, watchers, links or both, an entry that reaches the store misses no change for longer than that. Watchers whose dial or poll fails are passed over for 10 s, and the next in rank takes their place by itself. While the store is down only watchers call each second. A table is sent by one of the three peers; the others name its version and send it when asked a quarter of a second later. Up to 12 entries all watch, as before. Ruled out: watchers by failure domain (nothing gained, bytes of polls are small, and one domain's loss would take all of its watchers), a constant number of watchers (polls at each would grow with the fleet), a thirty-second of the fleet (calls would). TestSilentPeerTimesOut calls poll with one argument more; its check is unchanged.

--- a/fleet/book.go
+++ b/fleet/book.go
@@ -148,17 +148,21 @@
 	}
 }
 
-// RemoveAtPeer removes instances whose entries have disappeared according to another process. Those
-// that it keeps as lapsed are kept for ReregisterGrace. That process has reached the store, so
-// instances that lapsed here in an outage have had their chance to register again as well, and get
-// the same time.
-func (r *Registry) RemoveAtPeer(removed, lapsed []string, now time.Time) {
-	until := now.Add(ReregisterGrace)
-	for id, end := range r.lapsed {
-		if end.IsZero() {
-			r.lapsed[id] = until
+// BoundLapsed ends the grace period of instances that lapsed in an outage after ReregisterGrace,
+// because another process has reached the store since.
+func (r *Registry) BoundLapsed(now time.Time) {
+	for id, until := range r.lapsed {
+		if until.IsZero() {
+			r.lapsed[id] = now.Add(ReregisterGrace)
 		}
 	}
+}
+
+// RemoveAtPeer removes instances whose entries have disappeared according to another process that
+// has reached the store. Those that it keeps as lapsed are kept for ReregisterGrace.
+func (r *Registry) RemoveAtPeer(removed, lapsed []string, now time.Time) {
+	until := now.Add(ReregisterGrace)
+	r.BoundLapsed(now)
 	keep := make(map[string]bool, len(lapsed))
 	for _, id := range lapsed {
 		keep[id] = true
--- a/peer/asker.go
+++ b/peer/asker.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -32,6 +31,8 @@
 	// pollsPerPeer is the number of polls after which another peer is picked, so that no two
 	// entries poll only each other.
 	pollsPerPeer = 12
+	// tableWait is how long a table may take to arrive from one peer before another is asked for it.
+	tableWait = 250 * time.Millisecond
 	// repickDelay is the pause before another peer is picked.
 	repickDelay = 150 * time.Millisecond
 )
@@ -67,90 +68,129 @@
 
 // Run polls until ctx ends.
 func (p *Poller) Run(ctx context.Context) {
+	chosen := newSelection(p.Self.ID, p.Seeds, p.View)
 	for i := 1; i < pollers; i++ {
-		go p.loop(ctx)
+		go p.loop(ctx, chosen, false)
 	}
-	p.loop(ctx)
+	p.loop(ctx, chosen, true)
 }
 
-func (p *Poller) loop(ctx context.Context) {
+// loop polls one peer after the other. Only the primary loop asks for tables right away, since the
+// others would receive the same table at the same time.
+func (p *Poller) loop(ctx context.Context, chosen *selection, primary bool) {
 	for ctx.Err() == nil {
-		if address := p.pickPeer(); address != "" {
-			p.poll(ctx, address)
+		if t, ok := chosen.pick(); ok {
+			if !p.poll(ctx, t.address, primary) && ctx.Err() == nil && t.name != "" {
+				p.View.MarkUnreachable(t.name)
+			}
+			chosen.release(t)
 		}
 		retry.Sleep(ctx, repickDelay)
 	}
 }
 
-// pickPeer returns the address of a random peer, of a random seed if no peer is known, or an empty
-// string if there is neither.
-func (p *Poller) pickPeer() string {
-	var list []string
-	for name, address := range p.View.Now().Members {
-		if name != p.Self.ID {
-			list = append(list, address)
-		}
-	}
-	if len(list) == 0 {
-		list = p.Seeds
-	}
-	if len(list) == 0 {
-		return ""
-	}
-	return list[rand.IntN(len(list))]
-}
-
-// poll polls one peer until it is time to pick another or the link fails.
-func (p *Poller) poll(ctx context.Context, address string) {
+// poll polls one peer until it is time to pick another or the link fails. It reports whether the peer
+// answered to the end.
+func (p *Poller) poll(ctx context.Context, address string, primary bool) bool {
 	l, err := wire.DialTimeout(dialTimeout, address, p.Self, p.Key)
 	if err != nil {
 		p.Log.Debug("connecting to peer failed", "address", address, "error", err)
-		return
+		return false
 	}
 	defer l.Close()
 	answers := make(chan *proto.Update, 1)
-	go func() {
-		_ = l.Receive(func(f *proto.Frame) {
-			if f.Update == nil {
-				return
-			}
-			select {
-			case answers <- f.Update:
-			case <-l.Done():
-			}
-		})
-	}()
+	go receiveUpdates(l, answers)
 	last := &proto.Update{}
 	for range pollsPerPeer {
-		s := p.View.Now()
-		q := &proto.UpdateRequest{
-			Rev:               s.Rev,
-			WaitMs:            pollWait.Milliseconds(),
-			TerminationsAfter: last.TerminationsUpTo,
-			LimitsAfter:       last.LimitsUpTo,
-			LeavingAfter:      last.LeavingUpTo,
-			AcceptsDelta:      true,
+		n, asked, ok := p.ask(ctx, l, answers, p.request(last, primary))
+		if !ok {
+			return false
+		}
+		last = n
+		p.apply(n)
+		if n.Confirmed {
+			sent := asked.Add(time.Duration(n.HeldMs) * time.Millisecond)
+			p.View.Confirm(n.Rev, n.TableVersion, sent.Add(-time.Duration(n.UnconfirmedMs)*time.Millisecond))
 		}
-		if s.Table != nil {
-			q.Table = s.Table.Version
+		if !primary && p.lacksTable(n) {
+			p.awaitTable(ctx, n)
 		}
-		if l.Send(&proto.Frame{UpdateRequest: q}) != nil {
+	}
+	return true
+}
+
+func receiveUpdates(l *wire.Link, answers chan<- *proto.Update) {
+	_ = l.Receive(func(f *proto.Frame) {
+		if f.Update == nil {
 			return
 		}
-		timeout := time.NewTimer(pollWait + pollSlack)
 		select {
-		case last = <-answers:
-			timeout.Stop()
-			p.apply(last)
-		case <-timeout.C:
-			p.Log.Info("peer did not answer within its timeout", "peer", l.Peer.ID)
-			return
+		case answers <- f.Update:
 		case <-l.Done():
-			timeout.Stop()
+		}
+	})
+}
+
+// request returns the next request to a peer whose last update is given.
+func (p *Poller) request(last *proto.Update, primary bool) *proto.UpdateRequest {
+	s := p.View.Now()
+	q := &proto.UpdateRequest{
+		Rev:               s.Rev,
+		WaitMs:            p.View.PollHold(pollWait).Milliseconds(),
+		TerminationsAfter: last.TerminationsUpTo,
+		LimitsAfter:       last.LimitsUpTo,
+		LeavingAfter:      last.LeavingUpTo,
+		AcceptsDelta:      true,
+		OmitTable:         !primary && !p.lacksTable(last),
+	}
+	if s.Table != nil {
+		q.Table = s.Table.Version
+	}
+	return q
+}
+
+// ask sends a request and returns the answer and when the request was sent. ok is false if no answer
+// came in time.
+func (p *Poller) ask(ctx context.Context, l *wire.Link, answers <-chan *proto.Update, q *proto.UpdateRequest) (n *proto.Update, asked time.Time, ok bool) {
+	asked = time.Now()
+	if l.Send(&proto.Frame{UpdateRequest: q}) != nil {
+		return nil, asked, false
+	}
+	timeout := time.NewTimer(time.Duration(q.WaitMs)*time.Millisecond + pollSlack)
+	defer timeout.Stop()
+	select {
+	case n = <-answers:
+		return n, asked, true
+	case <-timeout.C:
+		p.Log.Info("peer did not answer within its timeout", "peer", l.Peer.ID)
+	case <-l.Done():
+	case <-ctx.Done():
+	}
+	return nil, asked, false
+}
+
+// lacksTable reports whether a peer has a newer table than this entry.
+func (p *Poller) lacksTable(n *proto.Update) bool {
+	own := int64(0)
+	if t := p.View.Now().Table; t != nil {
+		own = t.Version
+	}
+	return n.TableVersion > own
+}
+
+// awaitTable waits until the primary loop has received the table that a peer has, for tableWait at
+// most.
+func (p *Poller) awaitTable(ctx context.Context, n *proto.Update) {
+	ctx, cancel := context.WithTimeout(ctx, tableWait)
+	defer cancel()
+	for ctx.Err() == nil {
+		changed := p.View.Changed()
+		if !p.lacksTable(n) {
 			return
+		}
+		select {
 		case <-ctx.Done():
-			timeout.Stop()
-			return
+		case <-changed:
 		}
 	}
 }
--- a/peer/asker_test.go
+++ b/peer/asker_test.go
@@ -25,7 +25,7 @@
 		Log:  hclog.NewNullLogger(),
 	}
 	began := time.Now()
-	p.poll(context.Background(), ln.Addr().String())
+	p.poll(context.Background(), ln.Addr().String(), true)
 	if took := time.Since(began); took > 4*dialTimeout {
 		t.Errorf("poll returned after %s", took)
 	}
--- a/peer/server.go
+++ b/peer/server.go
@@ -22,6 +22,8 @@
 	Quotas *quota.Registry
 	// Leaving holds the instances that have announced that they are leaving.
 	Leaving *leave.Registry
+
+	table encodedTable
 }
 
 // Serve answers the polls of one peer until its link closes.
@@ -35,12 +37,14 @@
 
 // answer holds a poll until there is an update for the peer or its wait time is over.
 func (s *Server) answer(l *wire.Link, ask *proto.UpdateRequest) {
+	arrived := time.Now()
 	timer := time.NewTimer(min(time.Duration(ask.WaitMs)*time.Millisecond, maxHold))
 	defer timer.Stop()
 	for {
 		changed, ended := s.View.Changed(), s.Terminations.Changed()
 		limited, leaving := s.Quotas.Changed(), s.Leaving.Changed()
 		n, hasUpdate := s.update(ask)
+		n.HeldMs = time.Since(arrived).Milliseconds()
 		if hasUpdate {
 			_ = l.Send(&proto.Frame{Update: n})
 			return
@@ -49,6 +53,8 @@
 		case <-l.Done():
 			return
 		case <-timer.C:
+			n, _ = s.update(ask)
+			n.HeldMs = time.Since(arrived).Milliseconds()
 			_ = l.Send(&proto.Frame{Update: n})
 			return
 		case <-changed:
@@ -61,12 +67,17 @@
 
 // update returns what the peer lacks and reports whether there is anything.
 func (s *Server) update(ask *proto.UpdateRequest) (n *proto.Update, hasUpdate bool) {
+	// The age is taken before the state, which therefore is at least as recent as it says.
+	age, confirmed := s.View.Unconfirmed()
 	n = s.stateUpdate(ask)
+	if confirmed {
+		n.Confirmed, n.UnconfirmedMs = true, age.Milliseconds()+1
+	}
 	// These are read after the state, so that they include everything that was read with it.
 	n.Terminations, n.TerminationsUpTo = s.Terminations.Since(ask.TerminationsAfter)
 	n.Limits, n.LimitsUpTo = s.Quotas.Since(ask.LimitsAfter)
 	n.Leaving, n.LeavingUpTo = s.Leaving.Since(ask.LeavingAfter)
-	return n, n.Newer || len(n.Table) > 0 || len(n.Terminations)+len(n.Limits)+len(n.Leaving) > 0
+	return n, n.Newer || n.TableVersion > ask.Table || len(n.Terminations)+len(n.Limits)+len(n.Leaving) > 0
 }
 
 // stateUpdate returns what changed since the peer's revision, or the full state if the peer doesn't
@@ -74,8 +85,13 @@
 func (s *Server) stateUpdate(ask *proto.UpdateRequest) *proto.Update {
 	if ask.AcceptsDelta && ask.Rev > 0 {
 		if d, ok := s.View.Since(ask.Rev); ok {
-			return deltaUpdate(d, ask)
+			n := deltaUpdate(d, ask)
+			s.addTable(n, d.Change.Table, ask)
+			return n
 		}
 	}
-	return snapshotUpdate(s.View.Now(), ask)
+	snap := s.View.Now()
+	n := snapshotUpdate(snap, ask)
+	s.addTable(n, snap.Table, ask)
+	return n
 }
--- a/peer/update.go
+++ b/peer/update.go
@@ -9,14 +9,13 @@
 	"geraniumpass/view"
 )
 
-// snapshotUpdate returns the lists and the table of a snapshot if the peer lacks them.
+// snapshotUpdate returns the lists of a snapshot if the peer lacks them.
 func snapshotUpdate(s *view.Snapshot, ask *proto.UpdateRequest) *proto.Update {
 	n := &proto.Update{
 		Rev:   s.Rev,
 		Newer: s.Rev > ask.Rev,
-		Table: tableUpdate(s.Table, ask),
 	}
-	// The long lists are sent only to peers that lack them, because terminations arrive one by one and
+	// Encoding our own plain structs can't fail. The long lists are sent only to peers that lack them, because terminations arrive one by one and
 	// each triggers an update.
 	if n.Newer {
 		n.Instances = lo.Must(proto.Marshal(s.Instances))
@@ -33,7 +32,6 @@
 	n := &proto.Update{
 		Rev:   d.Change.Rev,
 		Newer: d.Change.Rev > ask.Rev,
-		Table: tableUpdate(d.Change.Table, ask),
 	}
 	if n.Newer {
 		n.Delta, n.After = true, d.After
@@ -48,15 +46,6 @@
 	return n
 }
 
-// tableUpdate returns the encoded table if it is newer than the peer's. Encoding our own plain
-// structs can't fail.
-func tableUpdate(t *plan.Table, ask *proto.UpdateRequest) []byte {
-	if t == nil || t.Version <= ask.Table {
-		return nil
-	}
-	return lo.Must(proto.Marshal(t))
-}
-
 // adopt merges the state in an update from a peer into a view and reports whether it was newer.
 func adopt(v *view.Cache, n *proto.Update) (bool, error) {
 	table, err := decodeTable(n.Table)
--- a/proto/news.go
+++ b/proto/news.go
@@ -21,6 +21,9 @@
 	LeavingAfter int64 `cbor:"6,keyasint,omitempty"`
 	// AcceptsDelta reports that the requester understands updates with Delta set.
 	AcceptsDelta bool `cbor:"7,keyasint,omitempty"`
+	// OmitTable asks for the version of a newer table only, because the requester expects the table
+	// from another peer.
+	OmitTable bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Update answers an UpdateRequest with the peer's revision and the state that is newer than
@@ -29,6 +32,13 @@
 	Rev int64 `cbor:"1,keyasint"`
 	// Table is a routing table, empty when the requester already has it.
 	Table []byte `cbor:"2,keyasint,omitempty"`
+	// TableVersion is the version of the peer's table, zero if it has none.
+	TableVersion int64 `cbor:"20,keyasint,omitempty"`
+	// Confirmed reports that the peer's state was the store's UnconfirmedMs ago, counted from when the
+	// update was sent, which was HeldMs after the request arrived.
+	Confirmed     bool  `cbor:"21,keyasint,omitempty"`
+	UnconfirmedMs int64 `cbor:"22,keyasint,omitempty"`
+	HeldMs        int64 `cbor:"23,keyasint,omitempty"`
 	// Instances and Members are complete if Newer is set and Delta is not.
 	Newer     bool              `cbor:"3,keyasint,omitempty"`
 	Instances []byte            `cbor:"4,keyasint,omitempty"`
--- a/setup/gateway.go
+++ b/setup/gateway.go
@@ -1,5 +1,11 @@
 package setup
 
+import (
+	"time"
+
+	"github.com/samber/lo"
+)
+
 // Gateway holds the settings of the gateway role, which serves callers in front of a platform's
 // upstreams.
 type Gateway struct {
@@ -18,8 +24,18 @@
 	// Grace is the time between SIGTERM and the platform killing the process.
 	Grace       Duration    `json:"grace"`
 	RetryBudget RetryBudget `json:"repeat"`
+	// ChangeBound and LeaveBound are the times within which changes of the configuration and departures
+	// of instances must be in force in this process, 2 s if zero.
+	ChangeBound Duration `json:"change_bound"`
+	LeaveBound  Duration `json:"leave_bound"`
 	// Cold is required if the manifest names services with cold instances.
 	Cold   ColdAllowance `json:"cold"`
 	Limits Limits        `json:"limits"`
 	Log    Log           `json:"log"`
 }
+
+// StalenessBound returns the shorter of the two bounds that are set, zero if neither is.
+func (g *Gateway) StalenessBound() time.Duration {
+	bounds := lo.Filter([]time.Duration{g.ChangeBound.Duration, g.LeaveBound.Duration}, func(d time.Duration, _ int) bool { return d > 0 })
+	return lo.Min(bounds)
+}
--- a/start/gateway.go
+++ b/start/gateway.go
@@ -102,6 +102,9 @@
 	log := do.MustInvoke[hclog.Logger](i)
 	clock := do.MustInvoke[clockwork.Clock](i)
 	cache := view.NewCache(cfg.ID, clock, log.Named("view"))
+	if bound := cfg.StalenessBound(); bound > 0 {
+		cache.SetBound(bound)
+	}
 	counts := meter.New(clock)
 	st := platform.NewStore(cfg.Store)
 	crashes := crash.New(clock, log.Named("crash"))
--- a/view/follow.go
+++ b/view/follow.go
@@ -43,10 +43,14 @@
 	wait.MaxInterval = maxBackoff
 	full := true
 	for ctx.Err() == nil {
+		if !full {
+			v.awaitTurn(ctx)
+		}
 		c, err := v.next(ctx, src, full)
 		if err == nil {
 			v.StoreUp()
 			v.Apply(c)
+			v.confirmNow()
 			v.startExpiry()
 			wait.Reset()
 			full = false
@@ -64,7 +68,7 @@
 		}
 		v.StoreDown()
 		v.log.Warn("reading from the store failed", "error", err)
-		retry.Sleep(ctx, wait.NextBackOff())
+		retry.Sleep(ctx, v.retryDelay(wait.NextBackOff()))
 	}
 }
 
@@ -87,8 +91,12 @@
 	return c, err
 }
 
-// watchTimeout returns how long the store holds the next watch.
+// watchTimeout returns how long the store holds the next watch. Watches on which others depend are
+// renewed sooner, because others need to know that nothing has changed.
 func (v *Cache) watchTimeout() time.Duration {
+	if r := v.role(); !r.alone {
+		return v.share(watchShare)
+	}
 	return minWatchTimeout + v.stagger(maxWatchTimeout-minWatchTimeout)
 }
 
@@ -98,12 +106,11 @@
 	return baseWatchDelay + v.stagger(min(members*watchDelayPerMember, maxExtraWatchDelay))
 }
 
-// stagger returns this entry's share of span, given by its index among the members rotated by the
-// revision.
+// stagger returns this entry's share of span, given by its index among the entries that watch, or
+// among all if it isn't one of them, rotated by the revision.
 func (v *Cache) stagger(span time.Duration) time.Duration {
-	s := v.Now()
-	index, count := memberIndex(s, v.name)
-	return time.Duration((int64(index)+s.Rev)%int64(count)) * span / time.Duration(count)
+	r := v.role()
+	return time.Duration((int64(r.index)+v.Now().Rev)%int64(r.count)) * span / time.Duration(r.count)
 }
 
 // memberIndex returns the index of name in the sorted member names and the number of members, or 0
--- a/view/keeper.go
+++ b/view/keeper.go
@@ -35,14 +35,22 @@
 	instances *fleet.Registry
 	table     *plan.Table
 	members   map[string]string
-	paces     map[string][]core.Pace
-	evacuated map[string]bool
+	// membersChanged is set when members differ from those of the last snapshot.
+	membersChanged bool
+	paces          map[string][]core.Pace
+	evacuated      map[string]bool
 	// coldUntil is when each cold instance is warm.
 	coldUntil map[core.Start]time.Time
 	rev       int64
 	changes   changeLog
-	changed   chan struct{}
-	expiring  bool
+	// bound is the time within which changes must be in force here; confirmedAt is when the state was
+	// last known to be the store's, zero before the first time.
+	bound       time.Duration
+	confirmedAt time.Time
+	// unreachable holds when members didn't answer, by name.
+	unreachable map[string]time.Time
+	changed     chan struct{}
+	expiring    bool
 }
 
 // NewCache returns an empty cache; name is this process's name among the members.
@@ -56,6 +64,9 @@
 		evacuated: make(map[string]bool),
 		coldUntil: make(map[core.Start]time.Time),
 		changed:   make(chan struct{}),
+
+		bound:       defaultBound,
+		unreachable: make(map[string]time.Time),
 	}
 	v.current.Store((&Snapshot{}).index())
 	return v
@@ -149,6 +160,7 @@
 	}
 	v.members = make(map[string]string, len(s.Members))
 	maps.Copy(v.members, s.Members)
+	v.membersChanged = true
 	v.paces = maps.Clone(s.Paces)
 	v.setEvacuated(s.Evacuated)
 	v.changes.restart(s.Rev)
@@ -178,11 +190,15 @@
 }
 
 func (v *Cache) applyMembers(c Change) {
-	if c.Full {
+	switch {
+	case c.Full:
 		v.members = make(map[string]string, len(c.Members))
-	} else if len(c.Members)+len(c.MembersRemoved) > 0 {
+	case len(c.Members)+len(c.MembersRemoved) > 0:
 		v.members = maps.Clone(v.members)
+	default:
+		return
 	}
+	v.membersChanged = true
 	for name, address := range c.Members {
 		v.members[name] = address
 	}
@@ -246,6 +262,16 @@
 	return false
 }
 
+// ranking returns the members in the order in which they become watchers, taken from the last
+// snapshot unless they have changed since.
+func (v *Cache) ranking(old *Snapshot) []string {
+	if !v.membersChanged && old.ranking != nil {
+		return old.ranking
+	}
+	v.membersChanged = false
+	return rankMembers(v.members)
+}
+
 func (v *Cache) publish() {
 	old := v.current.Load()
 	list := v.instances.List()
@@ -259,6 +285,7 @@
 		Paces:     v.paces,
 		Evacuated: v.evacuated,
 		coldUntil: v.publishedCold(),
+		ranking:   v.ranking(old),
 	}).index()
 	forward := s.Rev >= old.Rev && (old.Table == nil || s.Table != nil && s.Table.Version >= old.Table.Version)
 	check.Assert(check.ConfigMonotonic, forward, "snapshot of revision %d follows revision %d", s.Rev, old.Rev)
--- a/view/snapshot.go
+++ b/view/snapshot.go
@@ -26,6 +26,8 @@
 	Evacuated map[string]bool
 
 	coldUntil map[core.Start]time.Time
+	// ranking holds the names of the members in the order in which they become watchers.
+	ranking   []string
 	byService map[string][]core.Instance
 	byID      map[string]core.Instance
 	// newestByAddress maps each address to its latest row, for services in the routing table.
--- a/view/view_test.go
+++ b/view/view_test.go
@@ -104,13 +104,15 @@
 	waits []time.Duration
 	loads int
 	fail  error
+	// members are listed by every read.
+	members map[string]string
 }
 
 func (s *silentSource) Load(context.Context) (Change, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.loads++
-	return Change{Rev: int64(10 * s.loads), Full: true, Table: table(int64(s.loads))}, nil
+	return Change{Rev: int64(10 * s.loads), Full: true, Table: table(int64(s.loads)), Members: s.members}, nil
 }
 
 func (s *silentSource) Follow(ctx context.Context, _ int64, wait time.Duration) (Change, error) {
