Bound the number of entries that watch the store, with relays below them

Of more than 12 entries six watch; the first sqrt n in the same order poll them and are polled by the rest. Before this the watchers themselves were sqrt n, so that calls still grew with the fleet. By the constants an entry two hops away still has its state confirmed within 0.54 of the bound and some round trips, under the 0.7 at which it calls the store itself.

--- a/peer/selection.go
+++ b/peer/selection.go
@@ -15,7 +15,7 @@
 	address string
 }
 
-// selection picks the peers that this entry polls: those that watch the store, any member if none of
+// selection picks the peers that this entry polls: those that inform it of changes, any member if none of
 // them answers, and as long as no member is known, the seeds.
 type selection struct {
 	self  string
@@ -70,7 +70,7 @@
 
 func (s *selection) targets() []target {
 	members := s.view.Now().Members
-	out := s.others(s.view.Watchers(), members)
+	out := s.others(s.view.Informants(), members)
 	if len(out) == 0 {
 		out = s.others(lo.Keys(members), members)
 	}
--- a/view/follow.go
+++ b/view/follow.go
@@ -94,8 +94,12 @@
 // watchTimeout returns how long the store holds the next watch. Watches on which others depend are
 // renewed sooner, because others need to know that nothing has changed.
 func (v *Cache) watchTimeout() time.Duration {
-	if r := v.role(); !r.alone {
+	switch r := v.role(); {
+	case r.alone:
+	case r.watches:
 		return v.share(watchShare)
+	default:
+		return v.share(staleShare)
 	}
 	return minWatchTimeout + v.stagger(maxWatchTimeout-minWatchTimeout)
 }
--- a/view/fresh.go
+++ b/view/fresh.go
@@ -11,11 +11,12 @@
 	// defaultBound is the time within which changes are in force everywhere if none is set.
 	defaultBound = 2 * time.Second
 	// An entry that doesn't watch the store calls it by itself once its state wasn't confirmed for
-	// staleShare of the bound. Watchers renew their watches within watchShare of it, and hold the
-	// polls of others for holdShare at most, so that the state is confirmed in time while they work.
+	// staleShare of the bound. Watchers renew their watches within watchShare of it, and polls
+	// are held for holdShare at most, so that the state is confirmed in time over a watcher and a relay
+	// while they work.
 	staleShare = 0.7
-	watchShare = 0.4
-	holdShare  = 0.15
+	watchShare = 0.3
+	holdShare  = 0.12
 	// minStaleCheck is the shortest pause between two checks whether the state is still confirmed.
 	minStaleCheck = 20 * time.Millisecond
 )
@@ -26,7 +27,7 @@
 	v.bound = d
 }
 
-// PollHold returns how long a watcher may hold this entry's polls.
+// PollHold returns how long a peer may hold this entry's polls, at most the given time.
 func (v *Cache) PollHold(most time.Duration) time.Duration {
 	if v.role().watches {
 		return most
--- a/view/watchers.go
+++ b/view/watchers.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -9,19 +10,30 @@
 )
 
 const (
-	// minWatchers is the number of entries up to which every entry watches the store.
-	minWatchers = 12
+	// allWatch is the number of entries up to which every entry watches the store. Of more entries,
+	// watchers do.
+	allWatch = 12
+	watchers = 6
 	// watcherSeed is the rendezvous key by which all entries rank the members in the same way.
 	watcherSeed = "watchers"
 	// unreachableTTL is how long an entry that didn't answer isn't counted among the watchers.
 	unreachableTTL = 10 * time.Second
 )
 
-// watcherCount returns how many of the given number of entries watch the store and inform the
-// others. The calls to the store and the polls that each watcher answers both grow with the square
-// root of the number of entries.
+// watcherCount returns how many of the given number of entries watch the store. It is bounded, and so
+// are the calls to the store.
 func watcherCount(entries int) int {
-	return max(minWatchers, int(math.Ceil(math.Sqrt(float64(entries)))))
+	if entries <= allWatch {
+		return entries
+	}
+	return watchers
+}
+
+// relayCount returns how many of the given number of entries are polled by the others. The relays
+// include the watchers and poll them, so that the polls that each of them answers grow with the
+// square root of the number of entries.
+func relayCount(entries int) int {
+	return max(watcherCount(entries), int(math.Ceil(math.Sqrt(float64(entries)))))
 }
 
 // rankMembers returns the names of the members in the order in which they become watchers.
@@ -42,14 +54,13 @@
 	return names
 }
 
-// Watchers returns the names of the entries that watch the store, as far as this entry can tell:
-// the first ones in rank that it hasn't found unreachable. It always counts itself as reachable.
-func (v *Cache) Watchers() []string {
+// firstReachable returns the first members in rank that this entry hasn't found unreachable. It
+// always counts itself as reachable.
+func (v *Cache) firstReachable(count int) []string {
 	ranking := v.Now().ranking
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.clock.Now()
-	count := watcherCount(len(ranking))
 	out := make([]string, 0, count)
 	for _, name := range ranking {
 		if len(out) == count {
@@ -63,6 +74,21 @@
 	return out
 }
 
+// Watchers returns the names of the entries that watch the store, as far as this entry can tell.
+func (v *Cache) Watchers() []string {
+	return v.firstReachable(watcherCount(len(v.Now().ranking)))
+}
+
+// Informants returns the names of the entries that this one polls for changes: the watchers if it is
+// one of the relays, otherwise the relays.
+func (v *Cache) Informants() []string {
+	relays := v.firstReachable(relayCount(len(v.Now().ranking)))
+	if slices.Contains(relays, v.name) {
+		return v.Watchers()
+	}
+	return relays
+}
+
 // MarkUnreachable records that a member didn't answer, so that the next one in rank watches in its
 // place.
 func (v *Cache) MarkUnreachable(name string) {
@@ -79,8 +105,8 @@
 
 // role is how an entry learns of changes.
 type role struct {
-	// watches reports whether this entry watches the store on behalf of others or because it isn't a
-	// member yet; index is its place among the count entries that stagger their watches.
+	// watches reports whether this entry watches the store; index is its place among the count entries
+	// that stagger their watches.
 	watches bool
 	index   int
 	count   int
@@ -91,15 +117,13 @@
 // role returns how this entry learns of changes now.
 func (v *Cache) role() role {
 	s := v.Now()
-	if _, member := s.Members[v.name]; !member {
+	if len(s.ranking) == 0 {
 		return role{watches: true, count: 1, alone: true}
 	}
-	watchers := v.Watchers()
-	for i, name := range watchers {
-		if name == v.name {
-			return role{watches: true, index: i, count: len(watchers), alone: len(s.ranking) <= len(watchers)}
-		}
+	list := v.Watchers()
+	if i := slices.Index(list, v.name); i >= 0 {
+		return role{watches: true, index: i, count: len(list), alone: len(s.ranking) <= allWatch}
 	}
 	index, count := memberIndex(s, v.name)
-	return role{index: index, count: count}
+	return role{index: index, count: count, alone: len(s.ranking) <= allWatch}
 }
--- a/view/watchers_test.go
+++ b/view/watchers_test.go
@@ -19,47 +19,65 @@
 	return members
 }
 
-// calmCalls returns the calls a second that all entries make to the store while nothing changes, and
-// the highest number of entries that poll one watcher.
-func calmCalls(entries int) (calls, pollers float64) {
+// calmLoad is what the entries do while nothing changes.
+type calmLoad struct {
+	// calls is how many calls a second all entries make to the store.
+	calls float64
+	// pollers is the highest mean number of polls under way at the entries of one kind.
+	pollers float64
+}
+
+func calmLoadOf(entries int) calmLoad {
+	const pollsEach = 3
 	members := memberNames(entries)
-	watchers := 0
+	var l calmLoad
+	watching, relaying := 0, 0
 	for name := range members {
 		v := NewCache(name, clockwork.NewFakeClock(), hclog.NewNullLogger())
 		v.Apply(Change{Rev: 1, Full: true, Members: members})
 		if v.role().watches {
-			watchers++
-			calls += 1 / v.watchTimeout().Seconds()
+			watching++
+			l.calls += 1 / v.watchTimeout().Seconds()
+		}
+		if slices.Equal(v.Informants(), v.Watchers()) {
+			relaying++
 		}
 	}
-	return calls, 3 * float64(entries) / float64(watchers)
+	l.pollers = max(pollsEach*float64(relaying)/float64(watching), pollsEach*float64(entries)/float64(relaying))
+	return l
 }
 
-// TestCallsInCalmGrowSlowerThanTheFleet guards against a store that is asked by every entry, so that
-// its calls grow with the fleet though nothing changes, and against watchers that answer polls of the
-// whole fleet. Both must at most grow with the square root of the number of entries.
-func TestCallsInCalmGrowSlowerThanTheFleet(t *testing.T) {
+// TestCallsInCalmDoNotGrowWithTheFleet guards against a store that is asked by every entry, so that
+// its calls grow with the fleet though nothing changes, and against entries that answer polls of the
+// whole fleet. The calls must not grow, the polls at one entry with the square root of the number of
+// entries at most.
+func TestCallsInCalmDoNotGrowWithTheFleet(t *testing.T) {
 	const root = 1.5 // of doubling, with a margin for rounding
-	tests := []struct {
-		entries int
-		twice   int
-	}{
-		{144, 288},
-		{216, 432},
-		{432, 864},
-		{864, 1728},
-	}
-	for _, tt := range tests {
-		t.Run(fmt.Sprint(tt.entries), func(t *testing.T) {
-			calls, pollers := calmCalls(tt.entries)
-			callsTwice, pollersTwice := calmCalls(tt.twice)
-			if callsTwice > root*calls || pollersTwice > root*pollers {
-				t.Errorf("%.0f calls a second and %.0f pollers a watcher at %d entries, %.0f and %.0f at %d", calls, pollers, tt.entries, callsTwice, pollersTwice, tt.twice)
+	for _, entries := range []int{42, 99, 216, 432, 864} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			once, twice := calmLoadOf(entries), calmLoadOf(2*entries)
+			if twice.calls > once.calls {
+				t.Errorf("%.1f calls a second at %d entries, %.1f at twice as many", once.calls, entries, twice.calls)
+			}
+			if twice.pollers > root*once.pollers {
+				t.Errorf("%.0f polls at an entry of %d, %.0f of twice as many", once.pollers, entries, twice.pollers)
 			}
 		})
 	}
 }
 
+// TestEveryEntryWatchesASmallFleet checks that few entries don't depend on each other.
+func TestEveryEntryWatchesASmallFleet(t *testing.T) {
+	members := memberNames(allWatch)
+	for name := range members {
+		v := NewCache(name, clockwork.NewFakeClock(), hclog.NewNullLogger())
+		v.Apply(Change{Rev: 1, Full: true, Members: members})
+		if !v.role().watches {
+			t.Errorf("%s doesn't watch", name)
+		}
+	}
+}
+
 // TestUnreachableWatchersAreReplaced guards against a fleet whose watchers have been removed for
 // good: an entry that finds them unreachable takes their place when it is next in rank.
 func TestUnreachableWatchersAreReplaced(t *testing.T) {
