--- a/group/election.go
+++ b/group/election.go
@@ -22,6 +22,9 @@
 	campaignStagger = 100 * time.Millisecond
 	// campaignInterval is the interval between two checks of leaderTimeout.
 	campaignInterval = 100 * time.Millisecond
+	// firstRanks is how many ranks of a group read the leader from the store when they start: those
+	// that would campaign first.
+	firstRanks = 4
 	// campaignBackoff is the pause after a failed campaign.
 	campaignBackoff = time.Second
 )
@@ -47,8 +50,8 @@
 	}
 }
 
-// loadKnownLeader reads the current leader from the store once, as soon as the group is known. That
-// leader gets no newLeaderGrace: if it is alive, it is heard within the first leaderTimeout.
+// loadKnownLeader reads the current leader from the store once, as soon as the group is known, if this
+// rank is one of the firstRanks. That leader gets no newLeaderGrace: if it is alive, it is heard within the first leaderTimeout.
 func (m *Member) loadKnownLeader(ctx context.Context) {
 	for ctx.Err() == nil {
 		rep, known := m.Agent.Report()
@@ -56,6 +59,9 @@
 			retry.Sleep(ctx, campaignInterval)
 			continue
 		}
+		if rep.Rank >= firstRanks {
+			return
+		}
 		v, err := m.Store.Get(ctx, m.key(rep))
 		if err != nil {
 			m.Log.Info("cannot read the current leader from the store", "group", rep.Group, "error", err)
