Take the first state from peers when the whole system starts

Ruled out: stale reads at a tenth of the price (the pages don't say what their revision means, and an event between the two would be lost).

--- a/peer/asker.go
+++ b/peer/asker.go
@@ -33,6 +33,8 @@
 	pollsPerPeer = 12
 	// tableWait is how long a table may take to arrive from one peer before another is asked for it.
 	tableWait = 250 * time.Millisecond
+	// firstStateWait is how long a new entry polls a single peer for its first state.
+	firstStateWait = time.Second
 	// repickDelay is the pause before another peer is picked.
 	repickDelay = 150 * time.Millisecond
 )
@@ -78,6 +80,9 @@
 // loop polls one peer after the other. Only the primary loop asks for tables right away, since the
 // others would receive the same table at the same time.
 func (p *Poller) loop(ctx context.Context, chosen *selection, primary bool) {
+	if !primary {
+		p.awaitFirstState(ctx)
+	}
 	for ctx.Err() == nil {
 		if t, ok := chosen.pick(); ok {
 			if !p.poll(ctx, t.address, primary) && ctx.Err() == nil && t.name != "" {
@@ -89,6 +94,23 @@
 	}
 }
 
+// awaitFirstState waits until the primary loop has received a state, for firstStateWait at most, so
+// that a new entry gets one full snapshot and not one from each peer.
+func (p *Poller) awaitFirstState(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, firstStateWait)
+	defer cancel()
+	for ctx.Err() == nil {
+		changed := p.View.Changed()
+		if p.View.Now().Rev > 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+}
+
 // poll polls one peer until it is time to pick another or the link fails. It reports whether the peer
 // answered to the end.
 func (p *Poller) poll(ctx context.Context, address string, primary bool) bool {
--- a/peer/table.go
+++ b/peer/encoded.go
@@ -9,19 +9,20 @@
 	"geraniumpass/proto"
 )
 
-// encodedTable caches the encoding of the newest table, which many peers ask for at the same time.
-type encodedTable struct {
+// encoded caches the encoding of the newest version of a value, which many peers ask for at the same
+// time.
+type encoded struct {
 	mu      sync.Mutex
 	version int64
 	bytes   []byte
 }
 
-// encode returns the encoded table. Encoding our own plain structs can't fail.
-func (e *encodedTable) encode(t *plan.Table) []byte {
+// encode returns the encoded value. Encoding our own plain structs can't fail.
+func (e *encoded) encode(version int64, value any) []byte {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.bytes == nil || e.version != t.Version {
-		e.version, e.bytes = t.Version, lo.Must(proto.Marshal(t))
+	if e.bytes == nil || e.version != version {
+		e.version, e.bytes = version, lo.Must(proto.Marshal(value))
 	}
 	return e.bytes
 }
@@ -34,6 +35,6 @@
 	}
 	n.TableVersion = t.Version
 	if t.Version > ask.Table && !ask.OmitTable {
-		n.Table = s.table.encode(t)
+		n.Table = s.table.encode(t.Version, t)
 	}
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -23,7 +23,7 @@
 	// Leaving holds the instances that have announced that they are leaving.
 	Leaving *leave.Registry
 
-	table encodedTable
+	table encoded
 }
 
 // Serve answers the polls of one peer until its link closes.
--- a/setup/gateway.go
+++ b/setup/gateway.go
@@ -21,6 +21,8 @@
 	Store   string   `json:"store" validate:"required,hostport_ip"`
 	Seeds   []string `json:"seeds" validate:"dive,hostport_ip"`
 	LinkKey string   `json:"link_key" validate:"required,min=16"`
+	// Bootstrap is set when all processes of the system start for the first time.
+	Bootstrap bool `json:"bootstrap"`
 	// Grace is the time between SIGTERM and the platform killing the process.
 	Grace       Duration    `json:"grace"`
 	RetryBudget RetryBudget `json:"repeat"`
--- a/view/follow.go
+++ b/view/follow.go
@@ -41,7 +41,7 @@
 	wait := backoff.NewExponentialBackOff()
 	wait.InitialInterval = initialBackoff
 	wait.MaxInterval = maxBackoff
-	full := true
+	full := !v.awaitPeers(ctx)
 	for ctx.Err() == nil {
 		if !full {
 			v.awaitTurn(ctx)
--- a/view/fresh.go
+++ b/view/fresh.go
@@ -39,6 +39,29 @@
 	return time.Duration(s * float64(v.bound))
 }
 
+// SetPeerWait sets how long this entry waits at its start for a state from a peer before it reads the
+// whole state from the store. It must be called before Run.
+func (v *Cache) SetPeerWait(d time.Duration) {
+	v.peerWait = d
+}
+
+// awaitPeers reports whether a peer has provided a state within the time to wait for one.
+func (v *Cache) awaitPeers(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, v.peerWait)
+	defer cancel()
+	for {
+		changed := v.Changed()
+		if s := v.Now(); s.Rev > 0 && s.Table != nil {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-changed:
+		}
+	}
+}
+
 // Confirm records that this entry's state was the store's at a time, because an entry had the given
 // revision and table version confirmed then, and this one has both.
 func (v *Cache) Confirm(rev, table int64, at time.Time) {
--- a/view/keeper.go
+++ b/view/keeper.go
@@ -47,6 +47,8 @@
 	// last known to be the store's, zero before the first time.
 	bound       time.Duration
 	confirmedAt time.Time
+	// peerWait is how long to wait for a peer's state before the first read.
+	peerWait time.Duration
 	// unreachable holds when members didn't answer, by name.
 	unreachable map[string]time.Time
 	changed     chan struct{}
