--- a/start/gateway.go
+++ b/start/gateway.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
-	"slices"
 	"syscall"
 	"time"
 
@@ -51,11 +50,6 @@
 	// shutdownReserve is the part of the grace period left unused, so that the process exits before
 	// the platform kills it.
 	shutdownReserve = 200 * time.Millisecond
-	// restartPeerWait and bootstrapPeerWait are how long a gateway waits at its start for the state of a
-	// peer. Peers that run answer at once; when all start together, the seeds first read the state
-	// themselves and then send it to every other gateway.
-	restartPeerWait   = 250 * time.Millisecond
-	bootstrapPeerWait = 4 * time.Second
 	// registerRetryInterval is the interval between attempts to register in the member list.
 	registerRetryInterval = time.Second
 )
@@ -74,21 +68,6 @@
 
 // newProcess sets the memory limit and provides the clock and the log of a platform role. The
 // returned function closes the log.
-// peerWait returns how long a gateway waits for a peer's state before it reads all of it from the
-// store. When all start at once, the seeds read it for the others, which otherwise would make several
-// calls each. A seed waits for nobody, unless other processes have been running.
-func peerWait(cfg *setup.Gateway) time.Duration {
-	switch {
-	case len(cfg.Seeds) == 0:
-		return 0
-	case !cfg.Bootstrap:
-		return restartPeerWait
-	case slices.Contains(cfg.Seeds, cfg.Control):
-		return 0
-	}
-	return bootstrapPeerWait
-}
-
 func newProcess(l setup.Log, limits setup.Limits) (do.Injector, func()) {
 	check.ConfigureFromEnvironment()
 	if limits.MemoryMB > 0 {
