Compress tables and full lists between peers

Change: both are deflated, encoded once for all peers that ask. A constant factor and no mend of a law: tables grow with routes and accounts, not with the fleet, and each entry must have them once. Older builds get plain lists. TestUpdatesArriveWhole sends full states and deltas, also to a peer of an older build. TestUpdateOmitsKnownLists calls a method now; its check is unchanged.

--- a/peer/encoded.go
+++ b/peer/encoded.go
@@ -9,22 +9,30 @@
 	"geraniumpass/proto"
 )
 
-// encoded caches the encoding of the newest version of a value, which many peers ask for at the same
-// time.
+// encoded caches the encodings of the newest value, which many peers ask for at the same time.
 type encoded struct {
-	mu      sync.Mutex
-	version int64
-	bytes   []byte
+	mu sync.Mutex
+	// owner is a pointer to the immutable value that was encoded, or to what holds it. A revision
+	// doesn't identify a list, because lapsed instances are dropped without a new one.
+	owner  any
+	plain  []byte
+	packed []byte
 }
 
-// encode returns the encoded value. Encoding our own plain structs can't fail.
-func (e *encoded) encode(version int64, value any) []byte {
+// encode returns the encoded value, packed if wanted. Encoding our own plain structs can't fail.
+func (e *encoded) encode(owner, value any, pack bool) []byte {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.bytes == nil || e.version != version {
-		e.version, e.bytes = version, lo.Must(proto.Marshal(value))
+	if e.owner != owner {
+		e.owner, e.plain, e.packed = owner, nil, nil
 	}
-	return e.bytes
+	switch {
+	case !pack && e.plain == nil:
+		e.plain = lo.Must(proto.Marshal(value))
+	case pack && e.packed == nil:
+		e.packed = lo.Must(proto.Pack(value))
+	}
+	return lo.Ternary(pack, e.packed, e.plain)
 }
 
 // addTable adds the table to an update if it is newer than the peer's, unless the peer expects it
@@ -34,7 +42,8 @@
 		return
 	}
 	n.TableVersion = t.Version
+	n.Packed = ask.AcceptsDelta
 	if t.Version > ask.Table && !ask.OmitTable {
-		n.Table = s.table.encode(t.Version, t)
+		n.Table = s.table.encode(t, t, ask.AcceptsDelta)
 	}
 }
--- a/peer/ends_test.go
+++ b/peer/ends_test.go
@@ -127,7 +127,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			n := snapshotUpdate(snap, &proto.UpdateRequest{Rev: tt.rev})
+			n := (&Server{}).snapshotUpdate(snap, &proto.UpdateRequest{Rev: tt.rev})
 			if got := len(n.Instances) > 0 && len(n.Members) > 0; got != tt.lists || n.Newer != tt.lists {
 				t.Errorf("lists sent: %v, newer: %v; want %v", got, n.Newer, tt.lists)
 			}
--- a/peer/server.go
+++ b/peer/server.go
@@ -23,7 +23,8 @@
 	// Leaving holds the instances that have announced that they are leaving.
 	Leaving *leave.Registry
 
-	table encoded
+	table     encoded
+	instances encoded
 }
 
 // Serve answers the polls of one peer until its link closes.
@@ -91,7 +92,7 @@
 		}
 	}
 	snap := s.View.Now()
-	n := snapshotUpdate(snap, ask)
+	n := s.snapshotUpdate(snap, ask)
 	s.addTable(n, snap.Table, ask)
 	return n
 }
--- a/peer/update.go
+++ b/peer/update.go
@@ -10,19 +10,20 @@
 )
 
 // snapshotUpdate returns the lists of a snapshot if the peer lacks them.
-func snapshotUpdate(s *view.Snapshot, ask *proto.UpdateRequest) *proto.Update {
+func (s *Server) snapshotUpdate(snap *view.Snapshot, ask *proto.UpdateRequest) *proto.Update {
 	n := &proto.Update{
-		Rev:   s.Rev,
-		Newer: s.Rev > ask.Rev,
+		Rev:   snap.Rev,
+		Newer: snap.Rev > ask.Rev,
 	}
-	// Encoding our own plain structs can't fail. The long lists are sent only to peers that lack them, because terminations arrive one by one and
+	// The long lists are sent only to peers that lack them, because terminations arrive one by one and
 	// each triggers an update.
 	if n.Newer {
-		n.Instances = lo.Must(proto.Marshal(s.Instances))
-		n.Members = s.Members
-		n.Lapsed = s.Lapsed
-		n.Paces = s.Paces
-		n.Evacuated = lo.Keys(s.Evacuated)
+		n.Packed = ask.AcceptsDelta
+		n.Instances = s.instances.encode(snap, snap.Instances, n.Packed)
+		n.Members = snap.Members
+		n.Lapsed = snap.Lapsed
+		n.Paces = snap.Paces
+		n.Evacuated = lo.Keys(snap.Evacuated)
 	}
 	return n
 }
@@ -48,13 +49,13 @@
 
 // adopt merges the state in an update from a peer into a view and reports whether it was newer.
 func adopt(v *view.Cache, n *proto.Update) (bool, error) {
-	table, err := decodeTable(n.Table)
+	table, err := decodeTable(n)
 	if err != nil {
 		return false, err
 	}
 	var list []core.Instance
 	if n.Newer {
-		if err := proto.Unmarshal(n.Instances, &list); err != nil {
+		if err := decoder(n.Packed && !n.Delta)(n.Instances, &list); err != nil {
 			return false, err
 		}
 	}
@@ -88,13 +89,21 @@
 	}), nil
 }
 
+// decoder returns the function that decodes a packed or a plain value.
+func decoder(packed bool) func([]byte, any) error {
+	if packed {
+		return proto.Unpack
+	}
+	return proto.Unmarshal
+}
+
 // decodeTable returns nil if there is no table.
-func decodeTable(b []byte) (*plan.Table, error) {
-	if len(b) == 0 {
+func decodeTable(n *proto.Update) (*plan.Table, error) {
+	if len(n.Table) == 0 {
 		return nil, nil //nolint:nilnil // no table is a valid update
 	}
 	t := &plan.Table{}
-	if err := proto.Unmarshal(b, t); err != nil {
+	if err := decoder(n.Packed)(n.Table, t); err != nil {
 		return nil, err
 	}
 	return t.Compile(), nil
--- /dev/null
+++ b/peer/update_test.go
@@ -0,0 +1,83 @@
+package peer
+
+import (
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"geraniumpass/core"
+	"geraniumpass/fleet"
+	"geraniumpass/plan"
+	"geraniumpass/proto"
+	"geraniumpass/view"
+)
+
+// TestUpdatesArriveWhole sends each kind of update to a view, for peers of this build and of those
+// before deltas and packing.
+func TestUpdatesArriveWhole(t *testing.T) {
+	list := []core.Instance{{ID: "i-1", Service: "s", Domain: "a", Rev: 3}, {ID: "i-2", Service: "s", Domain: "b", Rev: 4}}
+	table := (&plan.Table{Version: 7, Routes: []plan.Route{{Name: "r", Host: "h", Prefix: "/"}}}).Compile()
+	tests := []struct {
+		name    string
+		request proto.UpdateRequest
+		// known is the revision that the receiver has.
+		known int64
+	}{
+		{"full", proto.UpdateRequest{AcceptsDelta: true}, 0},
+		{"full, an older build", proto.UpdateRequest{}, 0},
+		{"delta", proto.UpdateRequest{Rev: 2, AcceptsDelta: true}, 2},
+		{"full after a revision, an older build", proto.UpdateRequest{Rev: 2}, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			from := newNode(t, "a")
+			from.view.Apply(view.Change{Rev: 2, Full: true, Table: table, Members: map[string]string{"a": "x"}})
+			from.view.Apply(view.Change{Rev: 5, Put: list, Members: map[string]string{"b": "y"}, Evacuated: map[string]bool{"b": true}})
+			s := &Server{
+				View:         from.view,
+				Terminations: from.terminations,
+				Quotas:       from.quotas,
+				Leaving:      from.leaving,
+			}
+			n, _ := s.update(&tt.request)
+			v := view.NewCache("c", clockwork.NewRealClock(), hclog.NewNullLogger())
+			if tt.known > 0 {
+				v.Apply(view.Change{Rev: tt.known, Full: true, Members: map[string]string{"a": "x"}})
+			}
+			if adopted, err := adopt(v, n); !adopted || err != nil {
+				t.Fatalf("adopted %v, %v", adopted, err)
+			}
+			got := v.Now()
+			if got.Rev != 5 || len(got.Instances) != 2 || len(got.Members) != 2 || len(got.Usable("s")) != 1 || got.Table.Match("h", "/x") == nil {
+				t.Errorf("state %+v", *got)
+			}
+		})
+	}
+}
+
+// TestListWithoutDroppedInstance guards against an encoded list that outlives its snapshot: an
+// instance that lapses is dropped without a new revision, and a peer that still got it in the list but
+// not among the lapsed ones would keep it for good.
+func TestListWithoutDroppedInstance(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	v := view.NewCache("a", clock, hclog.NewNullLogger())
+	in := core.Instance{ID: "i-1", Service: "s"}
+	v.Apply(view.Change{Rev: 1, Full: true, Put: []core.Instance{in}})
+	v.StoreDown()
+	v.Apply(view.Change{Rev: 2, Removed: []string{in.ID}})
+	s := &Server{}
+	ask := &proto.UpdateRequest{AcceptsDelta: true}
+	before := s.snapshotUpdate(v.Now(), ask)
+	v.StoreUp()
+	clock.Advance(2 * fleet.ReregisterGrace)
+	v.ExpireLapsed()
+	after := s.snapshotUpdate(v.Now(), ask)
+	if len(before.Lapsed) != 1 || len(after.Lapsed) != 0 || before.Rev != after.Rev {
+		t.Fatalf("lapsed %v at revision %d, then %v at %d", before.Lapsed, before.Rev, after.Lapsed, after.Rev)
+	}
+	var list []core.Instance
+	if err := proto.Unpack(after.Instances, &list); err != nil || len(list) != 0 {
+		t.Errorf("list %v, %v; the instance was dropped", list, err)
+	}
+}
--- a/proto/news.go
+++ b/proto/news.go
@@ -69,4 +69,6 @@
 	InstancesRemoved []string `cbor:"16,keyasint,omitempty"`
 	MembersRemoved   []string `cbor:"17,keyasint,omitempty"`
 	EvacuationsEnded []string `cbor:"18,keyasint,omitempty"`
+	// Packed is set if the table, and the instances unless Delta is set, are packed.
+	Packed bool `cbor:"24,keyasint,omitempty"`
 }
