--- a/gate/held.go
+++ b/gate/held.go
@@ -16,7 +16,8 @@
 )
 
 // isBlocked reports whether an instance must get no request from this entry now because it is
-// leaving, in a cooldown, or at its limit, or cold and at its allowance. That holds even if it is the only instance.
+// leaving, in a cooldown, at its limit, or cold and at its allowance. That holds even if it is the
+// only instance.
 func (g *Gate) isBlocked(start core.Start, fleet quota.Fleet, now time.Time) bool {
 	return g.leavingInstances.IsLeaving(start) || g.cooldowns.remaining(start, now) > 0 ||
 		g.quotas.Wait(start, fleet) > 0 || g.cold.quotas.Wait(start, fleet) > 0
--- a/group/election.go
+++ b/group/election.go
@@ -51,7 +51,8 @@
 }
 
 // loadKnownLeader reads the current leader from the store once, as soon as the group is known, if this
-// rank is one of the firstRanks. That leader gets no newLeaderGrace: if it is alive, it is heard within the first leaderTimeout.
+// rank is one of the firstRanks. That leader gets no newLeaderGrace: if it is alive, it is heard within
+// the first leaderTimeout.
 func (m *Member) loadKnownLeader(ctx context.Context) {
 	for ctx.Err() == nil {
 		rep, known := m.Agent.Report()
