--- a/start/gateway.go
+++ b/start/gateway.go
@@ -50,8 +50,6 @@
 	// shutdownReserve is the part of the grace period left unused, so that the process exits before
 	// the platform kills it.
 	shutdownReserve = 200 * time.Millisecond
-	// registerRetryInterval is the interval between attempts to register in the member list.
-	registerRetryInterval = time.Second
 )
 
 // Gateway runs the gateway role with the settings in file until SIGTERM or SIGINT.
@@ -266,24 +264,6 @@
 	}
 }
 
-// register adds this process to the member list, through which peers discover it, and retries until
-// it succeeds.
-func (g *gateway) register(ctx context.Context) {
-	t := g.clock.NewTicker(registerRetryInterval)
-	defer t.Stop()
-	for {
-		err := g.source.Register(ctx, g.cfg.ID, g.cfg.Control)
-		if err == nil || ctx.Err() != nil {
-			return
-		}
-		g.log.Warn("failed to register in the member list; retrying", "error", err)
-		select {
-		case <-ctx.Done():
-		case <-t.Chan():
-		}
-	}
-}
-
 // stop fails readiness, waits for the platform to remove this entry from rotation, closes the
 // listener and idle connections, and returns once no request is in flight or the grace period is
 // nearly over. The listener is closed early because a request accepted later might not finish
