--- a/view/keeper.go
+++ b/view/keeper.go
@@ -108,6 +108,7 @@
 	v.applyTable(c.Table)
 	if c.Rev < v.rev {
 		// A peer has provided a newer revision in the meantime; the next watch starts from there.
+		v.log.Info("discarded what the store returned, a newer revision is known", "full", c.Full, "revision", c.Rev, "known", v.rev)
 		return
 	}
 	revChanged := c.Rev > v.rev
@@ -122,6 +123,7 @@
 	}
 	for _, in := range c.Put {
 		v.recordCold(in)
+		v.logLeaving(in)
 		if !v.instances.Put(in) {
 			v.log.Info("ignoring entry of an earlier incarnation of the instance", "instance", in.ID, "born", in.StartedAt, "revision", c.Rev)
 		}
@@ -142,6 +144,15 @@
 	}
 }
 
+// logLeaving logs that an instance begins to leave or is ready again, as its row says. It must be
+// called before the row is stored.
+func (v *Cache) logLeaving(in core.Instance) {
+	known, ok := v.instances.Instance(in.ID)
+	if ok && known.Leaving != in.Leaving {
+		v.log.Info("instance entry changed its state", "instance", in.ID, "leaving", in.Leaving, "revision", in.Rev)
+	}
+}
+
 // Adopt replaces the cached state by a peer's snapshot if that is newer, and reports whether it
 // was.
 func (v *Cache) Adopt(s *Snapshot) bool {
