Compare the eras of the store before its revisions

What callers saw: requests reached an instance more than 2 s after it had said that it leaves, once its last entry had been written after the store came back from a copy. Other changes of that time stayed unknown as well.

Cause: the store had come back with a lower revision and gave its revisions out again. An entry discarded each full read below the revision that it knew (and called its state confirmed), and watched on from it; once the new history had passed that number, the watch went on behind the writes below it. Peers compare the same numbers, so one that still held the old state replaced the new one.

Members are kept over a return, and instances that the copy lacks have the usual time to register. Builds without eras compare numbers with numbers, as before.

--- a/peer/asker.go
+++ b/peer/asker.go
@@ -11,6 +11,7 @@
 	"geraniumpass/proto"
 	"geraniumpass/quota"
 	"geraniumpass/retry"
+	"geraniumpass/store"
 	"geraniumpass/view"
 	"geraniumpass/wire"
 )
@@ -132,7 +133,7 @@
 		p.apply(n)
 		if n.Confirmed {
 			sent := asked.Add(time.Duration(n.HeldMs) * time.Millisecond)
-			p.View.Confirm(n.Rev, n.TableVersion, sent.Add(-time.Duration(n.UnconfirmedMs)*time.Millisecond))
+			p.View.Confirm(revision(n), n.TableVersion, sent.Add(-time.Duration(n.UnconfirmedMs)*time.Millisecond))
 		}
 		if !primary && p.lacksTable(n) {
 			p.awaitTable(ctx, n)
@@ -157,7 +158,9 @@
 func (p *Poller) request(last *proto.Update, primary bool) *proto.UpdateRequest {
 	s := p.View.Now()
 	q := &proto.UpdateRequest{
-		Rev:               s.Rev,
+		Rev:               store.NumberOf(s.Rev),
+		Era:               store.EraOf(s.Rev),
+		KnowsEra:          true,
 		WaitMs:            p.View.PollHold(pollWait).Milliseconds(),
 		TerminationsAfter: last.TerminationsUpTo,
 		LimitsAfter:       last.LimitsUpTo,
@@ -229,6 +232,6 @@
 		return
 	}
 	if adopted {
-		p.Log.Info("adopted a newer snapshot from a peer", "rev", n.Rev, "delta", n.Delta)
+		p.Log.Info("adopted a newer snapshot from a peer", "rev", n.Rev, "era", n.Era, "delta", n.Delta)
 	}
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -84,14 +84,15 @@
 // stateUpdate returns what changed since the peer's revision, or the full state if the peer doesn't
 // understand that or lags too far behind.
 func (s *Server) stateUpdate(ask *proto.UpdateRequest) *proto.Update {
-	if ask.AcceptsDelta && ask.Rev > 0 {
-		if d, ok := s.View.Since(ask.Rev); ok {
-			n := deltaUpdate(d, ask)
+	snap := s.View.Now()
+	known := knownRevision(ask, snap)
+	if ask.AcceptsDelta && known > 0 {
+		if d, ok := s.View.Since(known); ok {
+			n := deltaUpdate(d)
 			s.addTable(n, d.Change.Table, ask)
 			return n
 		}
 	}
-	snap := s.View.Now()
 	n := s.snapshotUpdate(snap, ask)
 	s.addTable(n, snap.Table, ask)
 	return n
--- a/peer/update.go
+++ b/peer/update.go
@@ -6,14 +6,29 @@
 	"geraniumpass/core"
 	"geraniumpass/plan"
 	"geraniumpass/proto"
+	"geraniumpass/store"
 	"geraniumpass/view"
 )
 
+// revision returns the revision of an update.
+func revision(n *proto.Update) int64 {
+	return store.Revision(n.Era, n.Rev)
+}
+
+// knownRevision returns the revision of a requester. Builds that don't know eras compare numbers only.
+func knownRevision(ask *proto.UpdateRequest, own *view.Snapshot) int64 {
+	if ask.KnowsEra {
+		return store.Revision(ask.Era, ask.Rev)
+	}
+	return store.Revision(store.EraOf(own.Rev), ask.Rev)
+}
+
 // snapshotUpdate returns the lists of a snapshot if the peer lacks them.
 func (s *Server) snapshotUpdate(snap *view.Snapshot, ask *proto.UpdateRequest) *proto.Update {
 	n := &proto.Update{
-		Rev:   snap.Rev,
-		Newer: snap.Rev > ask.Rev,
+		Rev:   store.NumberOf(snap.Rev),
+		Era:   store.EraOf(snap.Rev),
+		Newer: snap.Rev > knownRevision(ask, snap),
 	}
 	// The long lists are sent only to peers that lack them, because terminations arrive one by one and
 	// each triggers an update.
@@ -29,13 +44,14 @@
 }
 
 // deltaUpdate returns what changed after the peer's revision.
-func deltaUpdate(d view.Delta, ask *proto.UpdateRequest) *proto.Update {
+func deltaUpdate(d view.Delta) *proto.Update {
 	n := &proto.Update{
-		Rev:   d.Change.Rev,
-		Newer: d.Change.Rev > ask.Rev,
+		Rev:   store.NumberOf(d.Change.Rev),
+		Era:   store.EraOf(d.Change.Rev),
+		Newer: d.Change.Rev > d.After,
 	}
 	if n.Newer {
-		n.Delta, n.After = true, d.After
+		n.Delta, n.After = true, store.NumberOf(d.After)
 		n.Instances = lo.Must(proto.Marshal(d.Change.Put))
 		n.InstancesRemoved = d.Change.Removed
 		n.Members, n.MembersRemoved = d.Change.Members, d.Change.MembersRemoved
@@ -64,9 +80,9 @@
 		return v.Adopt(&view.Snapshot{Table: table}), nil
 	case n.Delta:
 		return v.AdoptDelta(view.Delta{
-			After: n.After,
+			After: store.Revision(n.Era, n.After),
 			Change: view.Change{
-				Rev:            n.Rev,
+				Rev:            revision(n),
 				Table:          table,
 				Put:            list,
 				Removed:        n.InstancesRemoved,
@@ -79,7 +95,7 @@
 		}), nil
 	}
 	return v.Adopt(&view.Snapshot{
-		Rev:       n.Rev,
+		Rev:       revision(n),
 		Table:     table,
 		Instances: list,
 		Members:   n.Members,
--- a/proto/news.go
+++ b/proto/news.go
@@ -24,6 +24,10 @@
 	// OmitTable asks for the version of a newer table only, because the requester expects the table
 	// from another peer.
 	OmitTable bool `cbor:"8,keyasint,omitempty"`
+	// Era is the store's era of Rev. KnowsEra is set by requesters that compare eras; for others it is
+	// taken to be the era of the peer.
+	Era      int64 `cbor:"9,keyasint,omitempty"`
+	KnowsEra bool  `cbor:"10,keyasint,omitempty"`
 }
 
 // Update answers an UpdateRequest with the peer's revision and the state that is newer than
@@ -69,6 +73,8 @@
 	InstancesRemoved []string `cbor:"16,keyasint,omitempty"`
 	MembersRemoved   []string `cbor:"17,keyasint,omitempty"`
 	EvacuationsEnded []string `cbor:"18,keyasint,omitempty"`
+	// Era is the store's era of Rev, After and the instances' revisions.
+	Era int64 `cbor:"25,keyasint,omitempty"`
 	// Packed is set if the table, and the instances unless Delta is set, are packed.
 	Packed bool `cbor:"24,keyasint,omitempty"`
 }
--- /dev/null
+++ b/store/revision.go
@@ -0,0 +1,22 @@
+package store
+
+// eraShift is the number of bits of a Revision below its era. At a thousand writes a second they last
+// for decades.
+const eraShift = 40
+
+// Revision returns a number that orders the states of a store that may be restored from a copy, where
+// it gives out the numbers of its revisions again: by era, then by number. An era is the time between
+// two restorations.
+func Revision(era, number int64) int64 {
+	return era<<eraShift | number
+}
+
+// EraOf returns the era of a revision.
+func EraOf(revision int64) int64 {
+	return revision >> eraShift
+}
+
+// NumberOf returns the number that the store gave a revision in its era.
+func NumberOf(revision int64) int64 {
+	return revision & (1<<eraShift - 1)
+}
--- a/store/store.go
+++ b/store/store.go
@@ -14,6 +14,8 @@
 	Data     []byte
 	Created  int64
 	Modified int64
+	// Era is the store's era when it returned the value.
+	Era int64
 }
 
 // Store is the part of the platform's key-value service that this system uses.
--- a/view/delta.go
+++ b/view/delta.go
@@ -81,7 +81,7 @@
 		v.instances.Put(in)
 	}
 	v.instances.RemoveAtPeer(d.Change.Removed, d.Lapsed, now)
-	v.applyMembers(d.Change)
+	v.applyMembers(d.Change, false)
 	v.applyPaces(d.Change)
 	v.applyEvacuations(d.Change)
 	v.changes.record(d.Change)
--- a/view/evacuation.go
+++ b/view/evacuation.go
@@ -1,6 +1,10 @@
 package view
 
-import "maps"
+import (
+	"maps"
+
+	"geraniumpass/store"
+)
 
 // applyEvacuations merges the evacuations of a change. A full change contains all of them.
 func (v *Cache) applyEvacuations(c Change) {
@@ -22,12 +26,12 @@
 func (v *Cache) setEvacuated(next map[string]bool) {
 	for domain := range next {
 		if !v.evacuated[domain] {
-			v.log.Info("failure domain is being evacuated, its instances get no more requests", "domain", domain, "revision", v.rev)
+			v.log.Info("failure domain is being evacuated, its instances get no more requests", "domain", domain, "revision", store.NumberOf(v.rev))
 		}
 	}
 	for domain := range v.evacuated {
 		if !next[domain] {
-			v.log.Info("evacuation of failure domain has ended", "domain", domain, "revision", v.rev)
+			v.log.Info("evacuation of failure domain has ended", "domain", domain, "revision", store.NumberOf(v.rev))
 			v.recordReturn(domain)
 		}
 	}
--- a/view/follow.go
+++ b/view/follow.go
@@ -49,8 +49,9 @@
 		c, err := v.next(ctx, src, full)
 		if err == nil {
 			v.StoreUp()
-			v.Apply(c)
-			v.confirmNow()
+			if v.Apply(c) {
+				v.confirmNow()
+			}
 			v.startExpiry()
 			wait.Reset()
 			full = false
@@ -63,6 +64,12 @@
 			full = true
 			continue
 		}
+		var restored *store.RestoredError
+		if errors.As(err, &restored) {
+			v.log.Info("store was restored, reloading the full state", "error", err)
+			full = true
+			continue
+		}
 		if errors.Is(err, errWatchStale) {
 			continue
 		}
--- a/view/keeper.go
+++ b/view/keeper.go
@@ -14,6 +14,7 @@
 	"geraniumpass/core"
 	"geraniumpass/fleet"
 	"geraniumpass/plan"
+	"geraniumpass/store"
 )
 
 const (
@@ -100,17 +101,19 @@
 	v.instances.StoreUp(v.clock.Now())
 }
 
-// Apply merges a change from the store.
-func (v *Cache) Apply(c Change) {
+// Apply merges a change from the store. It reports false if the change is from before the store was
+// restored, so that it confirms nothing.
+func (v *Cache) Apply(c Change) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.clock.Now()
 	v.applyTable(c.Table)
 	if c.Rev < v.rev {
 		// A peer has provided a newer revision in the meantime; the next watch starts from there.
-		v.log.Info("discarded what the store returned, a newer revision is known", "full", c.Full, "revision", c.Rev, "known", v.rev)
-		return
+		v.log.Info("discarded what the store returned, a newer revision is known", "full", c.Full, "revision", store.NumberOf(c.Rev), "known", store.NumberOf(v.rev))
+		return store.EraOf(c.Rev) == store.EraOf(v.rev)
 	}
+	restored := v.enterEra(c.Rev)
 	revChanged := c.Rev > v.rev
 	v.rev = c.Rev
 	removed := c.Removed
@@ -119,13 +122,13 @@
 	}
 	if v.isMassLoss(removed) {
 		v.instances.DeferRemovals(now)
-		v.log.Warn("many instance entries disappeared at once, keeping the instances for a grace period", "instances", len(removed), "revision", c.Rev)
+		v.log.Warn("many instance entries disappeared at once, keeping the instances for a grace period", "instances", len(removed), "revision", store.NumberOf(c.Rev))
 	}
 	for _, in := range c.Put {
 		v.recordCold(in)
 		v.logLeaving(in)
 		if !v.instances.Put(in) {
-			v.log.Info("ignoring entry of an earlier incarnation of the instance", "instance", in.ID, "born", in.StartedAt, "revision", c.Rev)
+			v.log.Info("ignoring entry of an earlier incarnation of the instance", "instance", in.ID, "born", in.StartedAt, "revision", store.NumberOf(c.Rev))
 		}
 	}
 	for _, id := range c.Invalid {
@@ -133,15 +136,16 @@
 	}
 	for _, id := range removed {
 		v.instances.Remove(id, now)
-		v.log.Info("instance entry disappeared from the store", "instance", id, "kept", v.instances.IsLapsed(id), "revision", c.Rev)
+		v.log.Info("instance entry disappeared from the store", "instance", id, "kept", v.instances.IsLapsed(id), "revision", store.NumberOf(c.Rev))
 	}
-	v.applyMembers(c)
+	v.applyMembers(c, restored)
 	v.applyPaces(c)
 	v.applyEvacuations(c)
 	v.changes.record(c)
 	if revChanged || c.Full || len(c.Put)+len(removed)+len(c.Invalid) > 0 {
 		v.publish()
 	}
+	return true
 }
 
 // logLeaving logs that an instance begins to leave or is ready again, as its row says. It must be
@@ -149,7 +153,7 @@
 func (v *Cache) logLeaving(in core.Instance) {
 	known, ok := v.instances.Instance(in.ID)
 	if ok && known.Leaving != in.Leaving {
-		v.log.Info("instance entry changed its state", "instance", in.ID, "leaving", in.Leaving, "revision", in.Rev)
+		v.log.Info("instance entry changed its state", "instance", in.ID, "leaving", in.Leaving, "revision", store.NumberOf(in.Rev))
 	}
 }
 
@@ -163,19 +167,24 @@
 	if s.Rev <= v.rev {
 		return false
 	}
+	restored := v.enterEra(s.Rev)
+	instances, lapsed := s.Instances, s.Lapsed
+	if restored {
+		for _, in := range v.missingAt(s.Instances) {
+			instances, lapsed = append(instances, in), append(lapsed, in.ID)
+		}
+	}
 	v.rev = s.Rev
-	for _, in := range s.Instances {
+	for _, in := range instances {
 		v.recordCold(in)
 	}
-	v.instances.Adopt(s.Instances, s.Lapsed, v.clock.Now())
+	v.instances.Adopt(instances, lapsed, v.clock.Now())
 	if len(s.Lapsed) > 0 {
-		v.log.Info("peer reports instances whose entries disappeared from the store", "kept", s.Lapsed, "revision", s.Rev)
+		v.log.Info("peer reports instances whose entries disappeared from the store", "kept", s.Lapsed, "revision", store.NumberOf(s.Rev))
 	}
-	v.members = make(map[string]string, len(s.Members))
-	maps.Copy(v.members, s.Members)
-	v.membersChanged = true
+	v.applyMembers(Change{Full: true, Members: s.Members}, restored)
 	v.paces = maps.Clone(s.Paces)
-	v.setEvacuated(s.Evacuated)
+	v.applyEvacuations(Change{Full: true, Evacuated: s.Evacuated})
 	v.changes.restart(s.Rev)
 	v.publish()
 	return true
@@ -202,11 +211,13 @@
 	v.publish()
 }
 
-func (v *Cache) applyMembers(c Change) {
+// applyMembers merges the members of a change. A full change contains all of them, unless the store
+// was restored and members have yet to register again.
+func (v *Cache) applyMembers(c Change, restored bool) {
 	switch {
-	case c.Full:
+	case c.Full && !restored:
 		v.members = make(map[string]string, len(c.Members))
-	case len(c.Members)+len(c.MembersRemoved) > 0:
+	case c.Full, len(c.Members)+len(c.MembersRemoved) > 0:
 		v.members = maps.Clone(v.members)
 	default:
 		return
--- a/view/source.go
+++ b/view/source.go
@@ -7,9 +7,10 @@
 
 // Source is the part of the platform's store that a Cache uses.
 type Source interface {
-	// Load reads the full state and returns a *store.DownError if the store is unreachable.
+	// Load reads the full state and returns a *store.DownError if the store is unreachable, or a
+	// *store.RestoredError if it was restored from a copy meanwhile.
 	Load(ctx context.Context) (Change, error)
 	// Follow returns the changes after a revision, waiting up to wait for one. It returns a
-	// *store.DownError or a *store.CompactedError on failure.
+	// *store.DownError, a *store.CompactedError or a *store.RestoredError on failure.
 	Follow(ctx context.Context, after int64, wait time.Duration) (Change, error)
 }
