Carry over who has left and what is evacuated when the store is restored

What callers would see: the copy lists an instance as in use that had said that it leaves, or whose entry was gone, and requests go to it again; or it lacks an evacuation that is in force.

Fix: when an entry enters a new era, it keeps for 10 s what it knew: the incarnations that were leaving or had been removed within a minute get nothing, unless their entry is written again in the new era; evacuations that the copy lacks hold, unless the operator writes or ends them again. After that the store is believed. Two returns in a row carry over once more. What is carried over is not told to peers as the store's, since each has its own. Rejected: keeping Leaving in the rows themselves, which would spread to peers that have no time limit for it.

Not covered: an entry that starts between the return and the writes of the instances knows only the copy.

--- a/fleet/book.go
+++ b/fleet/book.go
@@ -28,6 +28,8 @@
 	// startedAt is the latest known start time of each instance in Unix milliseconds. It is kept
 	// longer than the entry, so that a late report doesn't bring back an earlier incarnation.
 	startedAt map[string]int64
+	// departed maps the incarnations that were removed to when.
+	departed  map[core.Start]time.Time
 	storeDown bool
 	// graceUntil is the time from which disappeared entries are removed at once again.
 	graceUntil time.Time
@@ -39,6 +41,7 @@
 		instances: make(map[string]core.Instance),
 		lapsed:    make(map[string]time.Time),
 		startedAt: make(map[string]int64),
+		departed:  make(map[core.Start]time.Time),
 	}
 }
 
@@ -84,6 +87,7 @@
 		return false
 	}
 	delete(r.lapsed, in.ID)
+	delete(r.departed, in.Start())
 	r.instances[in.ID] = in
 	return true
 }
@@ -134,8 +138,7 @@
 	}
 	unsettled := r.storeDown || now.Before(r.graceUntil)
 	if !unsettled || in.Leaving {
-		delete(r.instances, id)
-		delete(r.lapsed, id)
+		r.depart(id, now)
 		return
 	}
 	if _, waiting := r.lapsed[id]; waiting {
@@ -172,7 +175,7 @@
 			r.lapsed[id] = until
 			continue
 		}
-		r.Delete(id)
+		r.depart(id, now)
 	}
 }
 
@@ -197,6 +200,7 @@
 	old := r.instances
 	r.instances = make(map[string]core.Instance, len(list))
 	clear(r.lapsed)
+	defer r.recordMissing(old, now)
 	for _, in := range list {
 		switch own, known := old[in.ID]; {
 		case r.acceptStart(in):
@@ -232,8 +236,7 @@
 		if until.IsZero() || now.Before(until) {
 			continue
 		}
-		delete(r.lapsed, id)
-		delete(r.instances, id)
+		r.depart(id, now)
 		dropped = true
 	}
 	return dropped
--- a/view/follow.go
+++ b/view/follow.go
@@ -154,11 +154,16 @@
 	cancel(errWatchStale)
 }
 
-// startExpiry starts a goroutine that expires lapsed instances until none is left, unless it is
+// hasExpiry reports whether there is anything that ExpireLapsed ends later.
+func (v *Cache) hasExpiry() bool {
+	return v.instances.HasLapsed() || !v.carry.until.IsZero()
+}
+
+// startExpiry starts a goroutine that calls ExpireLapsed until nothing is left to end, unless it is
 // already running.
 func (v *Cache) startExpiry() {
 	v.mu.Lock()
-	start := v.instances.HasLapsed() && !v.expiring
+	start := v.hasExpiry() && !v.expiring
 	v.expiring = v.expiring || start
 	v.mu.Unlock()
 	if !start {
@@ -169,7 +174,7 @@
 			v.clock.Sleep(expiryInterval)
 			v.ExpireLapsed()
 			v.mu.Lock()
-			waiting = v.instances.HasLapsed()
+			waiting = v.hasExpiry()
 			v.expiring = waiting
 			v.mu.Unlock()
 		}
--- a/view/keeper.go
+++ b/view/keeper.go
@@ -40,6 +40,7 @@
 	membersChanged bool
 	paces          map[string][]core.Pace
 	evacuated      map[string]bool
+	carry          carryover
 	// coldUntil is when each cold instance is warm.
 	coldUntil map[core.Start]time.Time
 	rev       int64
@@ -190,12 +191,16 @@
 	return true
 }
 
-// ExpireLapsed drops lapsed instances whose grace period is over.
+// ExpireLapsed drops lapsed instances whose grace period is over, and ends the carryover when its time
+// is over.
 func (v *Cache) ExpireLapsed() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.instances.Expire(v.clock.Now()) {
+	dropped := v.instances.Expire(v.clock.Now())
+	if dropped {
 		v.log.Info("dropped instances whose entries did not reappear within their grace period")
+	}
+	if v.expireCarryover() || dropped {
 		v.publish()
 	}
 }
@@ -308,6 +313,8 @@
 		Lapsed:    v.instances.Lapsed(),
 		Paces:     v.paces,
 		Evacuated: v.evacuated,
+		carried:   maps.Clone(v.carry.evacuated),
+		withheld:  v.withheld(list),
 		coldUntil: v.publishedCold(),
 		ranking:   v.ranking(old),
 	}).index()
--- /dev/null
+++ b/view/restore_test.go
@@ -0,0 +1,129 @@
+package view
+
+import (
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+
+	"geraniumpass/core"
+	"geraniumpass/store"
+)
+
+// TestInstanceThatLeftIsNotUsedAgain guards against requests to an instance that was leaving or gone,
+// because the store was restored from a copy in which it is in use.
+func TestInstanceThatLeftIsNotUsedAgain(t *testing.T) {
+	copied := instancesOf(2, "i-1", "i-2")
+	rewritten := copied[0]
+	rewritten.Rev = store.Revision(2, 70)
+	restarted := rewritten
+	restarted.StartedAt = 7
+	fromStore := func(v *Cache) { v.Apply(Change{Rev: store.Revision(2, 40), Full: true, Put: copied}) }
+	fromPeer := func(v *Cache) { v.Adopt(&Snapshot{Rev: store.Revision(2, 40), Instances: copied}) }
+	leaves := func(v *Cache) {
+		row := instancesOf(1, "i-1")[0]
+		row.Leaving, row.Rev = true, store.Revision(1, 56)
+		v.Apply(Change{Rev: store.Revision(1, 56), Put: []core.Instance{row}})
+	}
+	isGone := func(v *Cache) { v.Apply(Change{Rev: store.Revision(1, 56), Removed: []string{"i-1"}}) }
+	again := func(v *Cache) {
+		v.Apply(Change{Rev: store.Revision(3, 30), Full: true, Put: instancesOf(3, "i-1", "i-2")})
+	}
+	write := func(in core.Instance) func(v *Cache) {
+		return func(v *Cache) { v.Apply(Change{Rev: in.Rev, Put: []core.Instance{in}}) }
+	}
+	tests := []struct {
+		name  string
+		steps []func(v *Cache)
+		want  string
+	}{
+		{"leaving, read from the store", []func(*Cache){leaves, fromStore}, "i-2 "},
+		{"leaving, told by a peer", []func(*Cache){leaves, fromPeer}, "i-2 "},
+		{"gone, read from the store", []func(*Cache){isGone, fromStore}, "i-2 "},
+		{"gone, told by a peer", []func(*Cache){isGone, fromPeer}, "i-2 "},
+		{"gone, listed twice", []func(*Cache){isGone, fromPeer, fromStore}, "i-2 "},
+		{"leaving, restored twice", []func(*Cache){leaves, fromStore, again}, "i-2 "},
+		{"gone, restored twice", []func(*Cache){isGone, fromStore, again}, "i-2 "},
+		{"leaving, written again as in use", []func(*Cache){leaves, fromStore, write(rewritten)}, "i-1 i-2 "},
+		{"gone, started again under its id", []func(*Cache){isGone, fromStore, write(restarted)}, "i-1 i-2 "},
+		{"in use all the while", []func(*Cache){fromStore}, "i-1 i-2 "},
+		{"back before the store was restored", []func(*Cache){isGone, func(v *Cache) {
+			v.Apply(Change{Rev: store.Revision(1, 57), Put: instancesOf(1, "i-1")})
+		}, fromStore}, "i-1 i-2 "},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			v := newRestoredCache(clock)
+			for _, step := range tt.steps {
+				step(v)
+			}
+			if got := usableIDs(v); got != tt.want {
+				t.Errorf("in use: %swant %s", got, tt.want)
+			}
+			clock.Advance(carryTime)
+			v.ExpireLapsed()
+			if got := usableIDs(v); got != "i-1 i-2 " {
+				t.Errorf("in use once the store is believed again: %s", got)
+			}
+		})
+	}
+}
+
+// TestEvacuationOutlivesARestoredStore guards against requests to a failure domain that is being
+// evacuated, because the store was restored from a copy without the evacuation.
+func TestEvacuationOutlivesARestoredStore(t *testing.T) {
+	restore := func(listed ...string) func(v *Cache) {
+		return func(v *Cache) {
+			c := Change{Rev: store.Revision(2, 40), Full: true, Put: instancesOf(2, "i-1", "i-2"), Evacuated: map[string]bool{}}
+			for _, domain := range listed {
+				c.Evacuated[domain] = true
+			}
+			v.Apply(c)
+		}
+	}
+	fromPeer := func(v *Cache) {
+		v.Adopt(&Snapshot{Rev: store.Revision(2, 40), Instances: instancesOf(2, "i-1", "i-2")})
+	}
+	set := func(rev int64, domain string, on bool) func(v *Cache) {
+		return func(v *Cache) { v.Apply(Change{Rev: rev, Evacuated: map[string]bool{domain: on}}) }
+	}
+	begin, end := set(store.Revision(1, 56), "i-1", true), set(store.Revision(1, 57), "i-1", false)
+	beginAgain, endAgain := set(store.Revision(2, 60), "i-1", true), set(store.Revision(2, 61), "i-1", false)
+	again := func(v *Cache) {
+		v.Apply(Change{Rev: store.Revision(3, 30), Full: true, Put: instancesOf(3, "i-1", "i-2")})
+	}
+	tests := []struct {
+		name  string
+		steps []func(v *Cache)
+		want  string
+		// later is what is in use once the store is believed again.
+		later string
+	}{
+		{"lost, read from the store", []func(*Cache){begin, restore()}, "i-2 ", "i-1 i-2 "},
+		{"lost, told by a peer", []func(*Cache){begin, fromPeer}, "i-2 ", "i-1 i-2 "},
+		{"lost twice", []func(*Cache){begin, restore(), again}, "i-2 ", "i-1 i-2 "},
+		{"written again", []func(*Cache){begin, restore(), beginAgain}, "i-2 ", "i-2 "},
+		{"written again and ended", []func(*Cache){begin, restore(), beginAgain, endAgain}, "i-1 i-2 ", "i-1 i-2 "},
+		{"ended after the store was restored", []func(*Cache){begin, restore(), endAgain}, "i-1 i-2 ", "i-1 i-2 "},
+		{"in the copy", []func(*Cache){begin, restore("i-1")}, "i-2 ", "i-2 "},
+		{"ended, and in the copy", []func(*Cache){begin, end, restore("i-1")}, "i-2 ", "i-2 "},
+		{"ended, and not in the copy", []func(*Cache){begin, end, restore()}, "i-1 i-2 ", "i-1 i-2 "},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			v := newRestoredCache(clock)
+			for _, step := range tt.steps {
+				step(v)
+			}
+			if got := usableIDs(v); got != tt.want {
+				t.Errorf("in use: %swant %s", got, tt.want)
+			}
+			clock.Advance(carryTime)
+			v.ExpireLapsed()
+			if got := usableIDs(v); got != tt.later {
+				t.Errorf("in use once the store is believed again: %swant %s", got, tt.later)
+			}
+		})
+	}
+}
--- a/view/snapshot.go
+++ b/view/snapshot.go
@@ -22,9 +22,13 @@
 	Lapsed []string
 	// Paces are the slow instances by group.
 	Paces map[string][]core.Pace
-	// Evacuated is the set of failure domains whose instances must get no requests.
+	// Evacuated is the set of failure domains that the store lists as being evacuated.
 	Evacuated map[string]bool
 
+	// carried is the set of further evacuated failure domains, and withheld that of incarnations that get
+	// no requests, both known from before the store was restored.
+	carried   map[string]bool
+	withheld  map[core.Start]bool
 	coldUntil map[core.Start]time.Time
 	// ranking holds the names of the members in the order in which they become watchers.
 	ranking   []string
@@ -50,7 +54,7 @@
 		if other, ok := s.newestByAddress[in.Address]; s.inTable(in.Service) && (!ok || in.Rev > other.Rev) {
 			s.newestByAddress[in.Address] = in
 		}
-		if !in.Leaving && !s.Evacuated[in.Domain] {
+		if !in.Leaving && !s.withheld[in.Start()] && !s.IsEvacuated(in) {
 			s.byService[in.Service] = append(s.byService[in.Service], in)
 		}
 	}
@@ -66,7 +70,7 @@
 // IsEvacuated reports whether an instance must get no requests because its failure domain is being
 // evacuated.
 func (s *Snapshot) IsEvacuated(in core.Instance) bool {
-	return s.Evacuated[in.Domain]
+	return s.Evacuated[in.Domain] || s.carried[in.Domain]
 }
 
 // ColdUntil returns when an instance is warm, which is in the past or zero if it is already.
