Order the leaders of a group by the era of the store

What callers would see: after the store came back from a copy, every rank refuses the next leader, because its fence, the revision of the election's key, is lower than that of the one before; expert maps are never changed again until the revisions have caught up. Or the number is given out again and two leaders have one fence, on which the guards' proof rests that no two maps run in a step.

Fix: the record of the leader holds its fence, and the next one is above it and above all fences of earlier eras (28 bits below the era). A campaign that the store's return overtakes doesn't lead. A record of an older build, whose fence is the key's revision, is exceeded as well: a fence is never above the revision of its write. A rank that reads a leader whom it knows to be replaced no longer waits for that one's heartbeat.

--- a/group/election.go
+++ b/group/election.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
 
+	"github.com/zeebo/errs/v2"
+
 	"geraniumpass/retry"
 	"geraniumpass/store"
 )
@@ -30,7 +33,7 @@
 )
 
 // Elect campaigns whenever no leader is heard and leads after a won election, until ctx ends. A
-// rank wins by a compare-and-swap in the store, whose revision is the fencing token. There is no
+// rank wins by a compare-and-swap of a record with the next fencing token in the store. There is no
 // lease: heartbeats show that a leader is alive, and the guards refuse a leader that was replaced.
 func (m *Member) Elect(ctx context.Context) {
 	m.loadKnownLeader(ctx)
@@ -68,7 +71,7 @@
 			m.Log.Info("cannot read the current leader from the store", "group", rep.Group, "error", err)
 			return
 		}
-		m.knownFence = v.Modified
+		m.knownFence = leaderFence(v)
 		return
 	}
 }
@@ -95,7 +98,8 @@
 	a := m.Agent
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if fence == 0 || fence == a.fence || fence == m.knownFence {
+	// A restored store may name a leader that this rank knows to be replaced.
+	if fence <= a.fence || fence == m.knownFence {
 		return false
 	}
 	m.knownFence = fence
@@ -121,10 +125,18 @@
 	if err != nil {
 		return 0, err
 	}
-	if m.noteNewLeader(current.Modified) {
-		return 0, &RecentLeaderError{Fence: current.Modified}
+	if known := leaderFence(current); m.noteNewLeader(known) {
+		return 0, &RecentLeaderError{Fence: known}
+	}
+	own := leaderRecord{
+		Leader: m.Own.ID,
+		Fence:  nextFence(current),
+	}
+	data, err := json.Marshal(own)
+	if err != nil {
+		return 0, errs.Wrap(err)
 	}
-	won, err := m.Store.Swap(ctx, key, []byte(m.Own.ID), current.Modified, 0)
+	won, err := m.Store.Swap(ctx, key, data, current.Modified, 0)
 	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
 		// Another rank was faster and its heartbeat will follow.
@@ -132,5 +144,11 @@
 		m.Agent.leaderSeenAt = m.Agent.Clock.Now()
 		m.Agent.mu.Unlock()
 	}
-	return won.Modified, err
+	if err == nil && won.Era != current.Era {
+		return 0, &store.RestoredError{
+			Known: current.Modified,
+			Era:   won.Era,
+		}
+	}
+	return own.Fence, err
 }
--- /dev/null
+++ b/group/record.go
@@ -0,0 +1,43 @@
+package group
+
+import (
+	"encoding/json"
+
+	"geraniumpass/store"
+)
+
+// eraBits is the number of bits of a fence below the era of the store. They suffice for an election a
+// second for years, and leave room for the map versions of each fence.
+const eraBits = 28
+
+// leaderRecord is the value of the key that holds the leader of a group. Older builds write the
+// leader's name alone, with the revision of the key as its fence.
+type leaderRecord struct {
+	Leader string `json:"leader"`
+	Fence  int64  `json:"fence"`
+}
+
+// parseRecord returns the record in a value. ok is false if there is none or an older build wrote it.
+func parseRecord(v store.Value) (r leaderRecord, ok bool) {
+	err := json.Unmarshal(v.Data, &r)
+	return r, err == nil
+}
+
+// leaderFence returns the fence of the leader that a value names, zero if there is none.
+func leaderFence(v store.Value) int64 {
+	if r, ok := parseRecord(v); ok {
+		return r.Fence
+	}
+	return store.NumberOf(v.Modified)
+}
+
+// nextFence returns the fence of the leader that replaces the one in a value. It is above the fences of
+// all leaders before, also of those whose records were lost when the store was restored, because the
+// era comes first. The revision is above all fences of its era, whoever wrote it.
+func nextFence(v store.Value) int64 {
+	base := v.Era << eraBits
+	if r, ok := parseRecord(v); ok {
+		return max(r.Fence, base) + 1
+	}
+	return base + store.NumberOf(v.Modified) + 1
+}
