Write member entries and terminations again after the store was restored

What callers would see: an entry whose registration the copy lacks is found by no peer that starts later, and shares of limits and retries are cut for too few entries; an entry that starts later doesn't know which requests have terminated instances and sends them on. Both were written once, at the start and at the event.

Fix: each gateway waits for a later era of the store in its view, whether it learns of it from the store or from a peer, and then registers and publishes again, spread over a second so that a fleet doesn't write in one moment.

--- a/crash/keeper.go
+++ b/crash/keeper.go
@@ -36,7 +36,9 @@
 	Store    Writer
 	// Key is the store key reserved for this process.
 	Key string
-	Log hclog.Logger
+	// Lost tells that the store may have lost what was written to it; if nil, it never does.
+	Lost <-chan struct{}
+	Log  hclog.Logger
 
 	// modified is the revision of the key's value.
 	modified int64
@@ -61,6 +63,7 @@
 		select {
 		case <-ctx.Done():
 		case <-changed:
+		case <-p.Lost:
 		}
 	}
 }
--- a/start/gateway.go
+++ b/start/gateway.go
@@ -77,15 +77,17 @@
 
 // gateway is a running gateway role.
 type gateway struct {
-	cfg         *setup.Gateway
-	log         hclog.Logger
-	clock       clockwork.Clock
-	cache       *view.Cache
-	source      *platform.Source
-	crashes     *crash.Registry
-	quotas      *quota.Registry
-	leaving     *leave.Registry
-	publisher   *crash.Publisher
+	cfg       *setup.Gateway
+	log       hclog.Logger
+	clock     clockwork.Clock
+	cache     *view.Cache
+	source    *platform.Source
+	crashes   *crash.Registry
+	quotas    *quota.Registry
+	leaving   *leave.Registry
+	publisher *crash.Publisher
+	// lost tells the publisher that the store may have lost what it has written.
+	lost        chan struct{}
 	gate        *gate.Gate
 	identity    wire.Identity
 	frontServer *http.Server
@@ -111,7 +113,9 @@
 	quotas := quota.New(cfg.ID, clock, log.Named("quota"))
 	source := platform.NewSource(st, log.Named("store"))
 	source.SetTerminationSink(crashes)
+	lost := make(chan struct{}, 1)
 	g := &gateway{
+		lost:    lost,
 		cfg:     cfg,
 		log:     log,
 		clock:   clock,
@@ -124,6 +128,7 @@
 			Registry: crashes,
 			Store:    st,
 			Key:      platform.TerminationsKey(cfg.ID),
+			Lost:     lost,
 			Log:      log.Named("crash"),
 		},
 		gate: gate.New(gate.Options{
@@ -218,7 +223,7 @@
 		go func() { failed <- s.serve(ln) }()
 	}
 	go g.cache.Run(ctx, g.source)
-	go g.register(ctx)
+	go g.keepRegistered(ctx)
 	go (&peer.Poller{
 		Self:         g.identity,
 		Key:          []byte(g.cfg.LinkKey),
--- a/start/register.go
+++ b/start/register.go
@@ -25,3 +25,25 @@
 		}
 	}
 }
+
+// keepRegistered registers this process, and again whenever the store was restored from a copy, which may
+// lack the entry. What this process has published is then written again as well.
+func (g *gateway) keepRegistered(ctx context.Context) {
+	g.register(ctx)
+	w := &rewriter{
+		cache:  g.cache,
+		log:    g.log,
+		spread: rewriteSpread,
+		tasks:  []func(ctx context.Context){g.register, g.republish},
+	}
+	w.run(ctx, g.source.Era())
+}
+
+// republish has the publisher write again.
+func (g *gateway) republish(context.Context) {
+	select {
+	case g.lost <- struct{}{}:
+	default:
+		// It hasn't yet begun to write since the last time.
+	}
+}
--- a/view/restore.go
+++ b/view/restore.go
@@ -1,6 +1,7 @@
 package view
 
 import (
+	"context"
 	"expvar"
 	"maps"
 	"time"
@@ -53,6 +54,22 @@
 	return true
 }
 
+// AwaitEra waits until the store's era is later than a known one and returns it. It fails with the
+// error of ctx.
+func (v *Cache) AwaitEra(ctx context.Context, known int64) (int64, error) {
+	for {
+		changed := v.Changed()
+		if era := store.EraOf(v.Now().Rev); era > known {
+			return era, nil
+		}
+		select {
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
 // expireCarryover ends the carryover when its time is over and reports whether it did.
 func (v *Cache) expireCarryover() bool {
 	if v.carry.until.IsZero() || v.clock.Now().Before(v.carry.until) {
