Check that the store still has the list of slow ranks

What callers would see: after the store came back from a copy, entries send a slow rank its usual share of work, or spare one that has recovered, until its leader happens to see another change of pace.

Evidence: with the check taken out, TestSlowRanksOutliveARestoredStore has no way to pass: nothing else reads the key again. It passes with a lost list, an older one, and a list of ranks that have recovered.

Fix: a leader reads the key every 5 s while any rank is slow, and for 30 s after the last change, and writes if the store has another list: one read in 5 s for a group with slow ranks, none in calm. Leaders don't watch the store; a watch for each would cost more calls.

--- a/group/slow.go
+++ b/group/slow.go
@@ -24,6 +24,11 @@
 	slowWriteInterval = 300 * time.Millisecond
 	// slowRetryBackoff is the pause after a failed write.
 	slowRetryBackoff = time.Second
+	// slowCheckInterval is the time between two checks whether the store still has the list, which it
+	// loses if it is restored from a copy. Copies are some seconds old, so an empty list is checked
+	// for slowCheckTime after it was written.
+	slowCheckInterval = 5 * time.Second
+	slowCheckTime     = 30 * time.Second
 )
 
 // slowRankWriter publishes the slow ranks of a group under a key of the store, so that entries send
@@ -36,6 +41,8 @@
 	pending chan []core.Pace
 	slow    map[core.Start]bool
 	last    []core.Pace
+	// checkInterval is the time between two checks of the store.
+	checkInterval time.Duration
 }
 
 func newSlowRankWriter(s store.Store, key string, log hclog.Logger) *slowRankWriter {
@@ -45,6 +52,8 @@
 		log:     log,
 		pending: make(chan []core.Pace, 1),
 		slow:    make(map[core.Start]bool),
+
+		checkInterval: slowCheckInterval,
 	}
 }
 
@@ -82,6 +91,7 @@
 	revision := int64(0)
 	list := []core.Pace(nil)
 	written := false
+	changedAt := time.Now()
 	for ctx.Err() == nil {
 		if !written {
 			var err error
@@ -93,35 +103,41 @@
 			retry.Sleep(ctx, slowWriteInterval)
 			written = true
 		}
+		var check <-chan time.Time
+		if len(list) > 0 || time.Since(changedAt) < slowCheckTime {
+			check = time.After(s.checkInterval)
+		}
 		select {
 		case <-ctx.Done():
 		case list = <-s.pending:
-			written = false
+			written, changedAt = false, time.Now()
+		case <-check:
+			written, revision = false, 0
 		}
 	}
 }
 
 // write stores a list under the key if its revision is still the given one, and returns the new
-// revision. Revision 0 means unknown: the key is read first, and an empty list is not written over
-// an absent or empty one.
+// revision. Revision 0 means unknown: the key is read first and not written if it has the list, or if
+// it is absent and the list is empty.
 func (s *slowRankWriter) write(ctx context.Context, list []core.Pace, revision int64) (int64, error) {
+	if list == nil {
+		list = []core.Pace{}
+	}
+	data, err := json.Marshal(list)
+	if err != nil {
+		return revision, err
+	}
 	if revision == 0 {
 		current, err := s.store.Get(ctx, s.key)
 		if err != nil {
 			return 0, err
 		}
 		revision = current.Modified
-		if len(list) == 0 && (revision == 0 || string(current.Data) == "[]") {
+		if string(current.Data) == string(data) || revision == 0 && len(list) == 0 {
 			return revision, nil
 		}
 	}
-	if list == nil {
-		list = []core.Pace{}
-	}
-	data, err := json.Marshal(list)
-	if err != nil {
-		return revision, err
-	}
 	v, err := s.store.Swap(ctx, s.key, data, revision, 0)
 	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
--- a/group/slow_test.go
+++ b/group/slow_test.go
@@ -140,6 +140,48 @@
 	}
 }
 
+// TestSlowRanksOutliveARestoredStore guards against entries that send a slow rank its usual share of work,
+// or spare one that isn't slow any more, because the store was restored from an older copy.
+func TestSlowRanksOutliveARestoredStore(t *testing.T) {
+	tests := []struct {
+		name  string
+		paces []float64
+		copy  store.Value
+		want  []string
+	}{
+		{"list is lost", []float64{1, 2}, store.Value{}, []string{"b"}},
+		{"older list", []float64{2, 2}, store.Value{Data: []byte(`[{"start":{"id":"b"},"pace":2}]`), Modified: store.Revision(1, 1)}, []string{"a", "b"}},
+		{"list of ranks that have recovered", []float64{1, 1}, store.Value{Data: []byte(`[{"start":{"id":"b"},"pace":2}]`), Modified: store.Revision(1, 1)}, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &fakeStore{}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			r := newSlowRankWriter(s, "k", hclog.NewNullLogger())
+			r.checkInterval = 10 * time.Millisecond
+			go r.run(ctx)
+			r.update(ranksAt(1, 2))
+			s.await(t, "b")
+			r.update(ranksAt(tt.paces...))
+			s.await(t, tt.want...)
+			s.set(func() { s.value = tt.copy })
+			s.await(t, tt.want...)
+			if tt.want == nil {
+				return
+			}
+			before := 0
+			s.set(func() { before = s.writes })
+			<-time.After(10 * r.checkInterval)
+			s.set(func() {
+				if s.writes != before {
+					t.Errorf("%d writes of a list that the store has", s.writes-before)
+				}
+			})
+		})
+	}
+}
+
 // TestSmallPaceChangesAreNotWritten guards against writes that wake every entry without affecting
 // its choice of rank.
 func TestSmallPaceChangesAreNotWritten(t *testing.T) {
