Leave room for map versions under the fences of the own interface

The own interface makes its leaders' fences from the creation revision of the leader's key, and 2^20 map versions of each fence. Since revisions have the era above 40 bits, the versions of era 16 would no longer fit 64 bits.

--- a/entry/grouplease.go
+++ b/entry/grouplease.go
@@ -36,8 +36,8 @@
 	}
 }
 
-// campaign acquires the leadership if the leader key is vacant; the key's creation revision is the
-// fencing token.
+// campaign acquires the leadership if the leader key is vacant; the key's creation revision
+// makes the fencing token.
 func (g *groupLeader) campaign(ctx context.Context) {
 	g.mu.Lock()
 	g.campaignedAt = g.e.clock.Now()
@@ -69,7 +69,7 @@
 	g.e.log.Info("leading group", "group", g.name, "fence", fence, "ranks", len(ids))
 }
 
-// acquireLead writes the leader key and returns its creation revision, reading the key back if the
+// acquireLead writes the leader key and returns its fencing token, reading the key back if the
 // reply is lost.
 func (g *groupLeader) acquireLead(ctx context.Context, key string, lease store.Lease) (uint64, error) {
 	record := leaderRecord{
@@ -83,7 +83,7 @@
 	}
 	v, err := g.e.store.Swap(ctx, key, data, 0, lease)
 	if err == nil {
-		return uint64(v.Created), nil
+		return leaderFence(v), nil
 	}
 	var unsure *store.UnknownOutcomeError
 	if !errors.As(err, &unsure) {
@@ -96,7 +96,12 @@
 	if v.Modified == 0 || json.Unmarshal(v.Data, &stored) != nil || stored != record {
 		return 0, unsure
 	}
-	return uint64(v.Created), nil
+	return leaderFence(v), nil
+}
+
+// leaderFence returns the fencing token of the leader whose key was created at the value's revision.
+func leaderFence(v store.Value) uint64 {
+	return uint64(store.FenceBase(store.EraOf(v.Created)) + store.NumberOf(v.Created))
 }
 
 // connectRanks links to ranks outside the entry's subset; all ranks of a group belong to the same
--- a/group/record.go
+++ b/group/record.go
@@ -6,10 +6,6 @@
 	"geraniumpass/store"
 )
 
-// eraBits is the number of bits of a fence below the era of the store. They suffice for an election a
-// second for years, and leave room for the map versions of each fence.
-const eraBits = 28
-
 // leaderRecord is the value of the key that holds the leader of a group. Older builds write the
 // leader's name alone, with the revision of the key as its fence.
 type leaderRecord struct {
@@ -35,7 +31,7 @@
 // all leaders before, also of those whose records were lost when the store was restored, because the
 // era comes first. The revision is above all fences of its era, whoever wrote it.
 func nextFence(v store.Value) int64 {
-	base := v.Era << eraBits
+	base := store.FenceBase(v.Era)
 	if r, ok := parseRecord(v); ok {
 		return max(r.Fence, base) + 1
 	}
--- a/store/revision.go
+++ b/store/revision.go
@@ -20,3 +20,12 @@
 func NumberOf(revision int64) int64 {
 	return revision & (1<<eraShift - 1)
 }
+
+// fenceEraShift is the number of bits of a fencing token below its era. They suffice for an election a
+// second for years, and leave room for the map versions of each fence.
+const fenceEraShift = 28
+
+// FenceBase returns a number below all fencing tokens of an era and above those of earlier eras.
+func FenceBase(era int64) int64 {
+	return era << fenceEraShift
+}
