Keep warm instances warm when the store is restored

What callers would see: on installations with cold instances, all whose row still names the cold time of their start are limited as if they had just started, and calls are refused for that time after each return of the store.

Cause: a row counts as new if its revision differs, and all rows have other revisions in a new era. Evidence: the row "same row" of TestWarmInstancesStayWarmAfterStoreRestore fails without the change. Fix: in another era, a row of the same start with the same cold time says nothing new.

--- a/view/cold.go
+++ b/view/cold.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"geraniumpass/core"
+	"geraniumpass/store"
 )
 
 // recordCold records until when an instance is cold, as its row says. A row that is already known
@@ -12,11 +13,20 @@
 // stored.
 func (v *Cache) recordCold(in core.Instance) {
 	known, ok := v.instances.Instance(in.ID)
-	if in.ColdFor > 0 && (!ok || known.Rev != in.Rev || known.Start() != in.Start()) {
+	if in.ColdFor > 0 && (!ok || !isSameRow(known, in)) {
 		v.extendCold(in.Start(), v.clock.Now().Add(in.ColdFor))
 	}
 }
 
+// isSameRow reports whether a row says of the coldness of an instance what is known already. Rows have
+// other revisions after the store was restored.
+func isSameRow(known, in core.Instance) bool {
+	if known.Start() != in.Start() {
+		return false
+	}
+	return known.Rev == in.Rev || store.EraOf(known.Rev) != store.EraOf(in.Rev) && known.ColdFor == in.ColdFor
+}
+
 // recordReturn records that the instances of a failure domain may be cold, because its evacuation
 // has ended and they may have been restarted during it without having said so yet.
 func (v *Cache) recordReturn(domain string) {
--- a/view/restore_test.go
+++ b/view/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -69,6 +70,40 @@
 	}
 }
 
+// TestWarmInstancesStayWarmAfterStoreRestore guards against limiting all instances of a service as if they
+// had just started, because their rows have other revisions after the store was restored.
+func TestWarmInstancesStayWarmAfterStoreRestore(t *testing.T) {
+	const cold = 5 * time.Second
+	tests := []struct {
+		name   string
+		change func(in *core.Instance)
+		cold   bool
+	}{
+		{"same row", func(*core.Instance) {}, false},
+		{"another time", func(in *core.Instance) { in.ColdFor = cold - 1 }, true},
+		{"started again", func(in *core.Instance) { in.StartedAt = 7 }, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			v := newRestoredCache(clock)
+			row := instancesOf(1, "i-1")[0]
+			row.Rev, row.ColdFor = store.Revision(1, 56), cold
+			v.Apply(Change{Rev: row.Rev, Put: []core.Instance{row}})
+			if v.Now().ColdUntil(row).IsZero() {
+				t.Fatal("not cold when its row was written")
+			}
+			clock.Advance(2 * cold)
+			row.Rev = store.Revision(2, 30)
+			tt.change(&row)
+			v.Apply(Change{Rev: store.Revision(2, 40), Full: true, Put: []core.Instance{row}})
+			if got := v.Now().ColdUntil(row).After(clock.Now()); got != tt.cold {
+				t.Errorf("cold %v, want %v", got, tt.cold)
+			}
+		})
+	}
+}
+
 // TestEvacuationOutlivesARestoredStore guards against requests to a failure domain that is being
 // evacuated, because the store was restored from a copy without the evacuation.
 func TestEvacuationOutlivesARestoredStore(t *testing.T) {
