Don't take an instance that left for the successor at its address

What callers would see: for up to two seconds after the store's return, an instance that took over an address in the lost time gets nothing, because the copy lists the one that had the address before, at a later revision.

Evidence: TestInstanceThatLeftIsNoSuccessor fails without the change ("i-3 counts as replaced by i-1"). Fix: withheld incarnations are no successors.

--- a/view/restore_test.go
+++ b/view/restore_test.go
@@ -104,6 +104,22 @@
 	}
 }
 
+// TestInstanceThatLeftIsNoSuccessor guards against leaving an instance without requests, because the restored
+// store lists the one that had its address before.
+func TestInstanceThatLeftIsNoSuccessor(t *testing.T) {
+	v := newRestoredCache(clockwork.NewFakeClock())
+	next := core.Instance{ID: "i-3", Service: "s", Domain: "i-3", Address: "i-1", Rev: store.Revision(1, 57)}
+	v.Apply(Change{Rev: store.Revision(1, 56), Removed: []string{"i-1"}})
+	v.Apply(Change{Rev: store.Revision(1, 57), Put: []core.Instance{next}})
+	v.Apply(Change{Rev: store.Revision(2, 40), Full: true, Put: instancesOf(2, "i-1", "i-2")})
+	if other, replaced := v.Now().Successor(next); replaced {
+		t.Errorf("%s counts as replaced by %s, which was gone before it started", next.ID, other.ID)
+	}
+	if got := usableIDs(v); got != "i-2 i-3 " {
+		t.Errorf("in use: %s", got)
+	}
+}
+
 // TestEvacuationOutlivesARestoredStore guards against requests to a failure domain that is being
 // evacuated, because the store was restored from a copy without the evacuation.
 func TestEvacuationOutlivesARestoredStore(t *testing.T) {
--- a/view/snapshot.go
+++ b/view/snapshot.go
@@ -51,7 +51,8 @@
 	}
 	for _, in := range s.Instances {
 		s.byID[in.ID] = in
-		if other, ok := s.newestByAddress[in.Address]; s.inTable(in.Service) && (!ok || in.Rev > other.Rev) {
+		other, ok := s.newestByAddress[in.Address]
+		if s.inTable(in.Service) && !s.withheld[in.Start()] && (!ok || in.Rev > other.Rev) {
 			s.newestByAddress[in.Address] = in
 		}
 		if !in.Leaving && !s.withheld[in.Start()] && !s.IsEvacuated(in) {
