--- a/gate/serve.go
+++ b/gate/serve.go
@@ -12,6 +12,7 @@
 	"geraniumpass/core"
 	"geraniumpass/meter"
 	"geraniumpass/plan"
+	"geraniumpass/store"
 )
 
 const (
@@ -214,7 +215,7 @@
 		version = r.snap.Table.Version
 	}
 	r.g.log.Info("request", "id", r.call.ID, "route", name, "status", status, "reason", r.reason, "instance", r.lastInstance,
-		"sends", r.sends, "ms", took.Milliseconds(), "begun_ms", r.firstByteMillis(), "event", r.stream.lastEvent, "pause_ms", r.stream.maxPause.Milliseconds(), "table", version, "rev", r.snap.Rev)
+		"sends", r.sends, "ms", took.Milliseconds(), "begun_ms", r.firstByteMillis(), "event", r.stream.lastEvent, "pause_ms", r.stream.maxPause.Milliseconds(), "table", version, "rev", store.NumberOf(r.snap.Rev))
 }
 
 // firstByteMillis returns the time in milliseconds from the request to the first byte of an
