Renew only the member entries that a restored store lacks

What would have happened: after each return every entry of a fleet writes its member entry under the condition that there is none, 432 write calls within a second, nearly all refused because the copy has the entry; the calls of elections and terminations compete with them for the store's allowance.

Fix: renewal reads the entry first.

--- a/fleet/departed.go
+++ b/fleet/departed.go
@@ -11,8 +11,8 @@
 	// departedTTL is how long removed incarnations are remembered. Copies from which the store is
 	// restored are some seconds old.
 	departedTTL = time.Minute
-	// maxDeparted bounds the number of removed incarnations before expired ones are dropped.
-	maxDeparted = 1 << 12
+	// pruneDepartedAt is the number of remembered incarnations from which expired ones are dropped.
+	pruneDepartedAt = 1 << 12
 )
 
 // depart removes an instance and remembers its incarnation.
@@ -33,7 +33,7 @@
 }
 
 func (r *Registry) recordDeparted(start core.Start, now time.Time) {
-	if len(r.departed) >= maxDeparted {
+	if len(r.departed) >= pruneDepartedAt {
 		maps.DeleteFunc(r.departed, func(_ core.Start, at time.Time) bool { return now.Sub(at) >= departedTTL })
 	}
 	r.departed[start] = now
--- a/start/register.go
+++ b/start/register.go
@@ -11,10 +11,20 @@
 // register adds this process to the member list, through which peers discover it, and retries until
 // it succeeds.
 func (g *gateway) register(ctx context.Context) {
+	g.repeat(ctx, g.source.Register)
+}
+
+// renew registers again if the store lacks the entry of this process, and retries until it succeeds.
+func (g *gateway) renew(ctx context.Context) {
+	g.repeat(ctx, g.source.Renew)
+}
+
+// repeat calls write until it succeeds.
+func (g *gateway) repeat(ctx context.Context, write func(ctx context.Context, name, address string) error) {
 	t := g.clock.NewTicker(registerRetryInterval)
 	defer t.Stop()
 	for {
-		err := g.source.Register(ctx, g.cfg.ID, g.cfg.Control)
+		err := write(ctx, g.cfg.ID, g.cfg.Control)
 		if err == nil || ctx.Err() != nil {
 			return
 		}
@@ -34,7 +44,7 @@
 		cache:  g.cache,
 		log:    g.log,
 		spread: rewriteSpread,
-		tasks:  []func(ctx context.Context){g.register, g.republish},
+		tasks:  []func(ctx context.Context){g.renew, g.republish},
 	}
 	w.run(ctx, g.source.Era())
 }
--- a/start/rewrite_test.go
+++ b/start/rewrite_test.go
@@ -30,18 +30,20 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		saved := kv.Copy()
-		register := func(ctx context.Context) {
-			if err := source.Register(ctx, "front-1", "127.0.0.1:2"); err != nil {
+		if err := source.Register(ctx, "front-1", "127.0.0.1:2"); err != nil {
+			t.Fatal(err)
+		}
+		renew := func(ctx context.Context) {
+			if err := source.Renew(ctx, "front-1", "127.0.0.1:2"); err != nil {
 				t.Error(err)
 			}
 		}
-		register(ctx)
 		go cache.Run(ctx, source)
 		w := &rewriter{
 			cache:  cache,
 			log:    log,
 			spread: time.Millisecond,
-			tasks:  []func(ctx context.Context){register},
+			tasks:  []func(ctx context.Context){renew},
 		}
 		go w.run(ctx, source.Era())
 		for range returns {
--- a/view/restore.go
+++ b/view/restore.go
@@ -101,18 +101,3 @@
 	}
 	return out
 }
-
-// missingAt returns the known instances that a peer's list lacks and that weren't leaving.
-func (v *Cache) missingAt(list []core.Instance) []core.Instance {
-	listed := make(map[string]bool, len(list))
-	for _, in := range list {
-		listed[in.ID] = true
-	}
-	var out []core.Instance
-	for _, in := range v.instances.List() {
-		if !listed[in.ID] && !in.Leaving {
-			out = append(out, in)
-		}
-	}
-	return out
-}
