Start fences above 1, as they did when they were revisions

Since fences are counted and not revisions, the first leader of a group had fence 1 itself, so the order was the leader's own. The test stays as it is. Fences of a group now begin at 2 above the base of the era.

--- a/group/record.go
+++ b/group/record.go
@@ -6,6 +6,9 @@
 	"geraniumpass/store"
 )
 
+// noFence is a fence that no leader has: when fences were revisions, no leader's was the first.
+const noFence = 1
+
 // leaderRecord is the value of the key that holds the leader of a group. Older builds write the
 // leader's name alone, with the revision of the key as its fence.
 type leaderRecord struct {
@@ -32,8 +35,9 @@
 // era comes first. The revision is above all fences of its era, whoever wrote it.
 func nextFence(v store.Value) int64 {
 	base := store.FenceBase(v.Era)
+	last := base + store.NumberOf(v.Modified)
 	if r, ok := parseRecord(v); ok {
-		return max(r.Fence, base) + 1
+		last = r.Fence
 	}
-	return base + store.NumberOf(v.Modified) + 1
+	return max(last, base+noFence) + 1
 }
