Define the load of a group as agents and entries exchange it

Entries know nothing of groups: a group that stands keeps receiving requests, and a slow instance keeps its streams. Types, messages and the board of statuses, used by nothing yet, so that the parts can be built side by side. Built and vetted; no test yet.

--- a/plan/engine.go
+++ b/plan/engine.go
@@ -10,6 +10,9 @@
 	// and a part for each running request.
 	StepMs     float64
 	SequenceMs float64
+	// StepTokens is how many token steps are executed together before the next event of a stream, zero
+	// if unknown.
+	StepTokens int
 	// ReadPerSecond is the prefill rate in prompt tokens per second.
 	ReadPerSecond float64
 	// Sets, Experts and Places describe expert maps: the number of sets of layers, of experts in
--- a/proto/frame.go
+++ b/proto/frame.go
@@ -19,4 +19,7 @@
 	Update        *Update        `cbor:"15,keyasint,omitempty"`
 	RankState     *GroupRank     `cbor:"16,keyasint,omitempty"`
 	RankOrder     *GroupOrder    `cbor:"17,keyasint,omitempty"`
+
+	GroupLoadRequest *GroupLoadRequest `cbor:"18,keyasint,omitempty"`
+	GroupLoad        *GroupLoad        `cbor:"19,keyasint,omitempty"`
 }
--- a/proto/group.go
+++ b/proto/group.go
@@ -36,6 +36,9 @@
 	EngineStart int64 `cbor:"25,keyasint,omitempty"`
 	// Pace is the engine's step time as a multiple of its usual step time, or zero if not reported.
 	Pace float64 `cbor:"28,keyasint,omitempty"`
+	// Running and Waiting are the requests in the engine's batch and queue.
+	Running int `cbor:"29,keyasint,omitempty"`
+	Waiting int `cbor:"30,keyasint,omitempty"`
 }
 
 // GroupOrder is an order from a group's leader to the agent beside a rank.
@@ -59,4 +62,6 @@
 	MapDelta    []byte `cbor:"12,keyasint,omitempty"`
 	// Group is the group led by the sender. An agent of another group only replies with its own.
 	Group string `cbor:"8,keyasint"`
+	// Loads is the load of all ranks, sent with heartbeats.
+	Loads *RankLoads `cbor:"14,keyasint,omitempty"`
 }
