Pick instances by the loads of their groups, and none of a group that stalls

Instances of a stalled or closed group are a last resort while another group makes progress; if all groups are closed, callers are refused at once. Loads that agents reported replace the entry's own estimates, and the pick is the best of four random ones, as all entries see the same loads. No entry hears agents yet, so nothing changes.

--- a/gate/held.go
+++ b/gate/held.go
@@ -13,6 +13,7 @@
 	reasonLimited  = "limited"
 	reasonCold     = "cold"
 	reasonCooldown = "resting"
+	reasonClosed   = "group_closed"
 )
 
 // isBlocked reports whether an instance must get no request from this entry now because it is
--- a/gate/loads.go
+++ b/gate/loads.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -37,28 +36,6 @@
 	byStart map[core.Start]*instanceLoad
 }
 
-type instanceLoad struct {
-	inFlight int
-	// reported is the last load reported by the instance, including inFlightAtReport requests of
-	// this entry.
-	reported         float64
-	inFlightAtReport int
-	reportedAt       time.Time
-	// failures is the failure score at failedAt. It decays with failureHalfLife.
-	failures float64
-	failedAt time.Time
-	// consecutiveLosses counts the requests lost since the instance last began an answer;
-	// lastLossAt is when the last of them was lost.
-	consecutiveLosses int
-	lastLossAt        time.Time
-	// addressReused is set once another instance has answered at this address.
-	addressReused bool
-	// lastInvalid is the error of the last answer with invalid headers, empty if none.
-	lastInvalid string
-	// waiting holds the send times of requests without a first byte, oldest first.
-	waiting []time.Time
-}
-
 func newLoadTracker() *loadTracker {
 	return &loadTracker{byStart: make(map[core.Start]*instanceLoad)}
 }
@@ -79,6 +56,34 @@
 	t.get(start).inFlight++
 }
 
+// recordBegin records when a request was begun, for begunSince.
+func (t *loadTracker) recordBegin(start core.Start, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ld := t.get(start)
+	for len(ld.begun) > 0 && now.Sub(ld.begun[0]) > maxLoadAge {
+		ld.begun = ld.begun[1:]
+	}
+	ld.begun = append(ld.begun, now)
+}
+
+// begunSince returns the number of requests begun after t, which must be at most maxLoadAge ago.
+func (t *loadTracker) begunSince(start core.Start, after time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ld, ok := t.byStart[start]
+	if !ok {
+		return 0
+	}
+	n := 0
+	for _, at := range ld.begun {
+		if at.After(after) {
+			n++
+		}
+	}
+	return n
+}
+
 func (t *loadTracker) end(start core.Start) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -168,19 +173,6 @@
 	}
 }
 
-// estimate is an entry's view of an instance: its load, its failure score, and whether it is
-// failing.
-type estimate struct {
-	load     float64
-	failures float64
-	failing  bool
-}
-
-// isBarred reports whether the instance is picked only if there is no other.
-func (e estimate) isBarred() bool {
-	return e.failures > barThreshold || e.failing
-}
-
 // estimates returns the estimate of each instance. The load from other entries is interpolated
 // between the instance's last report and the mean over all instances, by the age of the report. An
 // instance without a recent report, for example one with a long queue, thus doesn't appear less
@@ -221,30 +213,6 @@
 	return t.estimates([]core.Start{start}, now)[0].isBarred()
 }
 
-// reportWeight returns the weight of the last reported load, from 0 (none) to 1 (just reported).
-func (ld *instanceLoad) reportWeight(now time.Time) float64 {
-	if ld.reportedAt.IsZero() {
-		return 0
-	}
-	return math.Exp2(-now.Sub(ld.reportedAt).Seconds() / loadHalfLife.Seconds())
-}
-
-// othersLoad returns the load from other entries as of the last report.
-func (ld *instanceLoad) othersLoad() float64 {
-	return max(0, ld.reported-float64(ld.inFlightAtReport))
-}
-
-// isFailing reports whether an instance should get no request: it lost all of its recent ones, and
-// either the last loss is within failingCooldown or a test request is in flight. The failure score
-// doesn't distinguish two losses of two requests from two of a hundred.
-func (ld *instanceLoad) isFailing(now time.Time) bool {
-	return ld.consecutiveLosses >= failingThreshold && (now.Sub(ld.lastLossAt) < failingCooldown || ld.inFlight > 0)
-}
-
-func (ld *instanceLoad) decayedFailures(now time.Time) float64 {
-	return ld.failures * math.Exp2(-now.Sub(ld.failedAt).Seconds()/failureHalfLife.Seconds())
-}
-
 // recordInvalid records the error of an answer with invalid headers and reports whether it differs
 // from the last one.
 func (t *loadTracker) recordInvalid(start core.Start, err error) bool {
--- a/gate/pick.go
+++ b/gate/pick.go
@@ -16,36 +16,64 @@
 	snap := r.g.view.Now()
 	now := r.g.clock.Now()
 	r.updateCold(snap, now)
-	preferred := r.g.preferredInstances(snap, r.service.Name)
-	answering := r.g.health.isAnswering(r.service.Name, now)
 	r.g.pickMu.Lock()
 	defer r.g.pickMu.Unlock()
 	list := r.candidates(snap, now)
-	views := make([]route.InstanceView, len(list))
 	starts := lo.Map(list, func(in core.Instance, _ int) core.Start { return in.Start() })
+	conditions := r.g.conditions(starts, r.route, now)
+	if areAllClosed(conditions) {
+		r.reason, r.closed = reasonClosed, true
+		return core.Instance{}, false
+	}
+	i := r.choose(r.instanceViews(snap, list, conditions, now), anyUsable(conditions))
+	if i < 0 {
+		return core.Instance{}, false
+	}
+	if r.permit, ok = r.g.acquire(list[i].Start(), fleetOf(snap), now); !ok {
+		return core.Instance{}, false
+	}
+	r.g.loads.begin(list[i].Start())
+	r.g.loads.recordBegin(list[i].Start(), now)
+	return list[i], true
+}
+
+// instanceViews returns the load and condition of each instance. The load that agents reported replaces
+// this entry's own estimate while it is recent.
+func (r *request) instanceViews(snap *view.Snapshot, list []core.Instance, conditions []condition, now time.Time) []route.InstanceView {
+	preferred := r.g.preferredInstances(snap, r.service.Name)
+	answering := r.g.health.isAnswering(r.service.Name, now)
+	avoidUnusable := anyUsable(conditions)
+	starts := lo.Map(list, func(in core.Instance, _ int) core.Start { return in.Start() })
+	views := make([]route.InstanceView, len(list))
 	for i, e := range r.g.loads.estimates(starts, now) {
 		in := list[i]
+		c := &conditions[i]
+		if c.hasLoad {
+			e.load = c.load + float64(r.g.loads.begunSince(in.Start(), c.loadAt))
+		}
+		isSilent := answering && r.g.loads.silentFor(in.Start(), now) > maxSilence
+		isAvoided := avoidUnusable && c.known && !c.usable
 		views[i] = route.InstanceView{
 			Domain:      in.Domain,
 			Load:        e.load,
 			Slots:       in.Slots,
 			Preferred:   preferred[in.ID],
-			Pace:        snap.Pace(in),
+			Pace:        max(snap.Pace(in), c.pace),
 			Penalty:     e.failures * failurePenalty,
 			HasIdleConn: r.g.pool.IdleCount(targetOf(in)) > 0,
-			LastResort: e.isBarred() || answering && r.g.loads.silentFor(in.Start(), now) > maxSilence ||
-				r.g.isReplaced(snap, in),
+			LastResort:  e.isBarred() || isSilent || isAvoided || r.g.isReplaced(snap, in),
 		}
 	}
-	i := route.LeastLoaded(views, r.g.opts.Domain, r.g.pickRandom)
-	if i < 0 {
-		return core.Instance{}, false
-	}
-	if r.permit, ok = r.g.acquire(list[i].Start(), fleetOf(snap), now); !ok {
-		return core.Instance{}, false
+	return views
+}
+
+// choose returns the index of the instance to send to, negative if there is none. sharedLoads is set if
+// the loads come from agents, so that other entries pick by the same ones.
+func (r *request) choose(views []route.InstanceView, sharedLoads bool) int {
+	if sharedLoads {
+		return route.LeastLoadedOf(views, groupChoices, r.g.opts.Domain, r.g.pickRandom)
 	}
-	r.g.loads.begin(list[i].Start())
-	return list[i], true
+	return route.LeastLoaded(views, r.g.opts.Domain, r.g.pickRandom)
 }
 
 // candidates returns the instances that were not tried yet and are not blocked.
