--- /dev/null
+++ b/loads/decode.go
@@ -0,0 +1,111 @@
+package loads
+
+import (
+	"math"
+	"time"
+
+	"geraniumpass/core"
+	"geraniumpass/proto"
+)
+
+// maxMilliseconds is the longest time that a message may hold.
+const maxMilliseconds = int64(math.MaxInt64 / time.Millisecond)
+
+// Decoder decodes the messages of one link in their order. It remembers the incarnations of the ranks,
+// which most messages omit. The zero value is ready for a new link.
+type Decoder struct {
+	starts  []core.Start
+	version int64
+}
+
+// Decode returns the load in a message. It fails with a *MessageError if the message contradicts itself;
+// the decoder is then as before.
+func (d *Decoder) Decode(m *proto.GroupLoad) (Group, error) {
+	if err := checkGroup(m); err != nil {
+		return Group{}, err
+	}
+	g := Group{
+		Name:       m.Group,
+		Epoch:      m.Epoch,
+		Open:       m.Open,
+		ClosedFor:  time.Duration(m.ClosedMs) * time.Millisecond,
+		StepTime:   time.Duration(m.StepMs * float64(time.Millisecond)),
+		StalledFor: time.Duration(m.StalledMs) * time.Millisecond,
+		RanksAge:   time.Duration(m.RanksAgeMs) * time.Millisecond,
+	}
+	if m.Ranks == nil {
+		return g, nil
+	}
+	ranks, err := d.DecodeRanks(m.Ranks)
+	if err != nil {
+		return Group{}, err
+	}
+	g.Ranks = ranks
+	return g, nil
+}
+
+// DecodeRanks returns the loads of all ranks in a message, without incarnations if the link has not
+// carried those of the message's version. It fails with a *MessageError like Decode.
+func (d *Decoder) DecodeRanks(m *proto.RankLoads) ([]Rank, error) {
+	starts := m.Starts
+	if starts == nil && m.StartsVersion == d.version {
+		starts = d.starts
+	}
+	if err := checkRanks(m, starts); err != nil {
+		return nil, err
+	}
+	if m.Starts != nil {
+		d.starts, d.version = m.Starts, m.StartsVersion
+	}
+	ranks := make([]Rank, len(m.Running))
+	for r := range ranks {
+		ranks[r] = Rank{
+			Running: int(m.Running[r]),
+			Waiting: int(m.Waiting[r]),
+			Pace:    normalPace,
+		}
+		if starts != nil {
+			ranks[r].Start = starts[r]
+		}
+	}
+	for r, pace := range m.Slow {
+		ranks[r].Pace = pace
+	}
+	return ranks, nil
+}
+
+func checkGroup(m *proto.GroupLoad) error {
+	switch {
+	case m.Group == "":
+		return &MessageError{Field: "group"}
+	case !isTime(m.ClosedMs):
+		return &MessageError{Field: "closed"}
+	case !isTime(m.StalledMs):
+		return &MessageError{Field: "stalled"}
+	case !isTime(m.RanksAgeMs):
+		return &MessageError{Field: "ranks age"}
+	case !(m.StepMs >= 0 && m.StepMs < float64(maxMilliseconds)):
+		return &MessageError{Field: "step time"}
+	}
+	return nil
+}
+
+func isTime(ms int64) bool {
+	return ms >= 0 && ms <= maxMilliseconds
+}
+
+func checkRanks(m *proto.RankLoads, starts []core.Start) error {
+	size := len(m.Running)
+	if len(m.Waiting) != size {
+		return &MessageError{Field: "waiting"}
+	}
+	if starts != nil && len(starts) != size {
+		return &MessageError{Field: "starts"}
+	}
+	for r, pace := range m.Slow {
+		if r < 0 || r >= size || !(pace >= normalPace) || math.IsInf(pace, 0) {
+			return &MessageError{Field: "slow"}
+		}
+	}
+	return nil
+}
