Let agents tell entries the load and condition of their group

An entry would see a group that makes no step as the least loaded one. Ranks now report running and waiting requests to their leader, which returns the loads of all ranks with its heartbeats (every 100 ms instead of 150). Each agent joins them with what it reads itself and sends the result to the entries that subscribed, every 100 ms and at once when the group stalls, closes or has other slow ranks. Step time and stalls need no leader. An agent reads its engine at the busy interval while any rank has requests; a rank without any would notice steps up to 250 ms late and report a stall that is none.

--- a/group/agent.go
+++ b/group/agent.go
@@ -10,7 +10,6 @@
 	"github.com/jonboulle/clockwork"
 
 	"geraniumpass/place"
-	"geraniumpass/proto"
 	"geraniumpass/retry"
 	"geraniumpass/shift"
 	"geraniumpass/wire"
@@ -69,6 +68,8 @@
 	mu     sync.Mutex
 	report Report
 	known  bool
+	// seen is what is known of the whole group.
+	seen sight
 	// slow is set while the engine's pace is slowLogPace or more.
 	slow bool
 	// countsLen is the number of counts that the engine returns.
@@ -94,6 +95,8 @@
 	mapCache mapCache
 	// preparing is the map version that the engine was last ordered to prepare.
 	preparing int64
+
+	publisher *publisher
 }
 
 // NewAgent returns an agent that has not read its engine yet.
@@ -106,11 +109,13 @@
 		links:        make(map[*wire.Link]bool),
 		inFlight:     make(map[shift.Order]bool),
 		preparing:    shift.None,
+		publisher:    newPublisher(log),
 	}
 }
 
-// Run polls the engine until ctx ends and reports its state to the leader.
+// Run polls the engine until ctx ends and reports its state to the leader and the subscribers.
 func (a *Agent) Run(ctx context.Context) {
+	go a.publishUntil(ctx)
 	for ctx.Err() == nil {
 		wait := idlePollInterval
 		if a.poll(ctx) {
@@ -134,7 +139,7 @@
 	}
 }
 
-// poll reads the engine once and reports whether it is stepping or has requests running.
+// poll reads the engine once and reports whether the group is stepping or has requests.
 func (a *Agent) poll(ctx context.Context) bool {
 	a.orderMu.Lock()
 	rep, err := a.readReport(ctx)
@@ -156,9 +161,9 @@
 			a.mu.Unlock()
 		}
 	}
-	a.storeReport(rep)
+	busy := a.storeReport(rep)
 	a.sendState()
-	return stepped || rep.Running > 0
+	return stepped || busy
 }
 
 // readReport reads the engine's state and releases an orphaned hold. The caller holds orderMu.
@@ -207,7 +212,8 @@
 	a.known = false
 }
 
-func (a *Agent) storeReport(rep Report) {
+// storeReport stores a report and reports whether the group has requests.
+func (a *Agent) storeReport(rep Report) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.known || rep.Epoch != a.report.Epoch || rep.Open != a.report.Open {
@@ -219,6 +225,7 @@
 	}
 	a.report = rep
 	a.known = true
+	return a.seen.observe(a.Clock.Now(), &rep)
 }
 
 // Report returns the newest state read; known is false while the engine cannot be read.
@@ -227,69 +234,3 @@
 	defer a.mu.Unlock()
 	return a.report, a.known
 }
-
-// sendState sends the newest state to the leader.
-func (a *Agent) sendState() {
-	a.mu.Lock()
-	l := a.leader
-	f := a.stateFrame(a.report)
-	now := a.Clock.Now()
-	if l == nil {
-		// Counts from before the next leader's term are of no use to it.
-		a.tally.Take()
-	}
-	if l != nil && (a.urgent || now.Sub(a.countsSentAt) >= time.Duration(a.countsLen)*countsIntervalPerCount) {
-		a.packCounts(f)
-		a.countsSentAt = now
-		a.urgent = false
-	}
-	a.mu.Unlock()
-	if l != nil {
-		_ = l.Send(&proto.Frame{RankState: f})
-	}
-}
-
-func (a *Agent) stateFrame(rep Report) *proto.GroupRank {
-	return &proto.GroupRank{
-		EngineStart: rep.EngineStart,
-		Group:       rep.Group,
-		Epoch:       rep.Epoch,
-		Rank:        rep.Rank,
-		Size:        rep.Size,
-		Open:        rep.Open,
-		Step:        rep.Step,
-		Map:         rep.Map,
-		Prepared:    rep.Prepared,
-		Armed:       rep.Armed,
-		ArmedStep:   rep.ArmedStep,
-		Held:        rep.Held,
-		Pace:        rep.Pace,
-	}
-}
-
-// Serve handles a leader's orders from a link until the link ends.
-func (a *Agent) Serve(l *wire.Link) {
-	a.mu.Lock()
-	a.links[l] = true
-	a.mu.Unlock()
-	_ = l.Receive(func(f *proto.Frame) {
-		if o := f.RankOrder; o != nil {
-			a.handleOrder(l, o)
-		}
-	})
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	delete(a.links, l)
-	if a.leader == l {
-		a.leader = nil
-	}
-}
-
-// Close closes the links of all leaders, as the end of the process would.
-func (a *Agent) Close() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for l := range a.links {
-		l.Close()
-	}
-}
--- /dev/null
+++ b/group/condition.go
@@ -0,0 +1,48 @@
+package group
+
+import (
+	"slices"
+	"time"
+
+	"geraniumpass/loads"
+)
+
+// stalledAfter is the time without a step from which a group counts as stalled. It is above the hold of
+// a map switch and the steps of a full group, and below what callers accept as a pause together with
+// the time that a stream needs to go on elsewhere.
+const stalledAfter = 250 * time.Millisecond
+
+// condition is the part of a group's load whose changes are sent at once.
+type condition struct {
+	group   string
+	epoch   int64
+	open    bool
+	stalled bool
+	// slow lists the slow ranks in ascending order.
+	slow []int
+}
+
+func conditionOf(g *loads.Group) condition {
+	c := condition{
+		group:   g.Name,
+		epoch:   g.Epoch,
+		open:    g.Open,
+		stalled: g.StalledFor >= stalledAfter,
+	}
+	for r := range g.Ranks {
+		if g.Ranks[r].Pace > normalPace {
+			c.slow = append(c.slow, r)
+		}
+	}
+	return c
+}
+
+func (c condition) equals(other condition) bool {
+	return c.group == other.group && c.epoch == other.epoch && c.open == other.open &&
+		c.stalled == other.stalled && slices.Equal(c.slow, other.slow)
+}
+
+// isBusy reports whether a group has requests or has made steps lately.
+func isBusy(g *loads.Group) bool {
+	return g.StepTime > 0 || g.StalledFor > 0 || g.Running() > 0 || g.Waiting() > 0
+}
--- a/group/lead.go
+++ b/group/lead.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// heartbeatInterval is the interval of the heartbeats to every rank.
-	heartbeatInterval = 150 * time.Millisecond
+	// heartbeatInterval is the interval of the heartbeats to every rank, which carry the loads.
+	heartbeatInterval = 100 * time.Millisecond
 	// tickInterval is how often a leader checks for due work, in addition to handling answers.
 	tickInterval = 25 * time.Millisecond
 	// dialInterval is how often unconnected ranks are dialed; listInterval is how often the
@@ -85,6 +85,7 @@
 	starts    []core.Start
 	instances map[string]core.Start
 	slow      *slowRankWriter
+	loads     *rankLoads
 
 	seq    uint64
 	sent   []shift.Order
@@ -146,6 +147,7 @@
 		paces:         slices.Repeat([]float64{normalPace}, rep.Size),
 		starts:        make([]core.Start, rep.Size),
 		slow:          newSlowRankWriter(m.Store, m.SlowPrefix+rep.Group, m.Log),
+		loads:         newRankLoads(rep.Size),
 		sent:          make([]shift.Order, rep.Size),
 		sentAt:        make([]time.Time, rep.Size),
 		seqs:          make([]uint64, rep.Size),
@@ -223,6 +225,7 @@
 	d.known[r] = true
 	d.reportedPaces[r] = paceOf(rank)
 	d.starts[r] = d.instances[e.address]
+	d.loads.observe(d.m.Clock.Now(), r, d.starts[r], rank)
 	if chosen := unpackCounts(rank); len(chosen) > 0 {
 		d.demand.Observe(d.m.Clock.Now(), chosen, rank.CountUnit)
 	}
--- a/group/links.go
+++ b/group/links.go
@@ -104,6 +104,7 @@
 
 func (d *leadership) handleLinkEnd(e event) {
 	delete(d.dialed, e.address)
+	d.loads.forgetLink(e.link)
 	r, ok := d.rankOf[e.link]
 	if !ok {
 		return
@@ -122,9 +123,12 @@
 		return
 	}
 	d.heartbeatAt = now
+	d.loads.update(now, d.reportedPaces, d.paces)
 	for _, l := range d.links {
 		if l != nil {
-			_ = l.Send(d.heartbeatFrame())
+			f := d.heartbeatFrame()
+			f.RankOrder.Loads = d.loads.message(l)
+			_ = l.Send(f)
 		}
 	}
 }
