Run the feed of group loads at each gateway

Gateways get the port of the sidecars (agent_port), create the board that the gate is to use, and keep it up to date. Nothing is decided by it yet.

--- a/setup/gateway.go
+++ b/setup/gateway.go
@@ -30,12 +30,20 @@
 	// of instances must be in force in this process, 2 s if zero.
 	ChangeBound Duration `json:"change_bound"`
 	LeaveBound  Duration `json:"leave_bound"`
+	// AgentPort is the port that the agents of all machines listen on. If it is empty or 0, this process
+	// subscribes to no group loads.
+	AgentPort string `json:"agent_port" validate:"omitempty,port_number"`
 	// Cold is required if the manifest names services with cold instances.
 	Cold   ColdAllowance `json:"cold"`
 	Limits Limits        `json:"limits"`
 	Log    Log           `json:"log"`
 }
 
+// HasAgents reports whether the port of the agents is known.
+func (g *Gateway) HasAgents() bool {
+	return g.AgentPort != "" && g.AgentPort != "0"
+}
+
 // StalenessBound returns the shorter of the two bounds that are set, zero if neither is.
 func (g *Gateway) StalenessBound() time.Duration {
 	bounds := lo.Filter([]time.Duration{g.ChangeBound.Duration, g.LeaveBound.Duration}, func(d time.Duration, _ int) bool { return d > 0 })
--- a/setup/load.go
+++ b/setup/load.go
@@ -28,6 +28,9 @@
 	lo.Must0(v.RegisterValidation("hostport_ip", func(fl validator.FieldLevel) bool {
 		return isAddress(fl.Field().String())
 	}))
+	lo.Must0(v.RegisterValidation("port_number", func(fl validator.FieldLevel) bool {
+		return isPort(fl.Field().String())
+	}))
 	return v
 }
 
@@ -42,6 +45,12 @@
 	return err == nil && n > 0 && n < 1<<16
 }
 
+// isPort reports whether s is the number of a port, or 0 for none.
+func isPort(s string) bool {
+	n, err := strconv.ParseUint(s, 10, 16)
+	return err == nil && s == strconv.FormatUint(n, 10)
+}
+
 // Load reads the file into settings, a pointer to a struct, and fails with a *ValidationError that
 // lists all findings.
 func Load(file string, settings any) error {
@@ -106,6 +115,8 @@
 		return "a value"
 	case "hostport_ip":
 		return "an IP number and a port such as 127.0.0.1:8000"
+	case "port_number":
+		return "a port between 1 and 65535 in quotes, or 0 or nothing"
 	case "oneof":
 		return "one of " + strings.ReplaceAll(f.Param(), " ", ", ")
 	case "eq":
--- a/start/gateway.go
+++ b/start/gateway.go
@@ -20,6 +20,7 @@
 	"geraniumpass/crash"
 	"geraniumpass/gate"
 	"geraniumpass/leave"
+	"geraniumpass/loads"
 	"geraniumpass/logio"
 	"geraniumpass/meter"
 	"geraniumpass/peer"
@@ -85,6 +86,7 @@
 	crashes   *crash.Registry
 	quotas    *quota.Registry
 	leaving   *leave.Registry
+	groups    *loads.Board
 	publisher *crash.Publisher
 	// lost tells the publisher that the store may have lost what it has written.
 	lost        chan struct{}
@@ -113,6 +115,7 @@
 	quotas := quota.New(cfg.ID, clock, log.Named("quota"))
 	source := platform.NewSource(st, log.Named("store"))
 	source.SetTerminationSink(crashes)
+	groups := loads.NewBoard(clock)
 	lost := make(chan struct{}, 1)
 	g := &gateway{
 		lost:    lost,
@@ -124,6 +127,7 @@
 		crashes: crashes,
 		quotas:  quotas,
 		leaving: leaving,
+		groups:  groups,
 		publisher: &crash.Publisher{
 			Registry: crashes,
 			Store:    st,
@@ -148,6 +152,7 @@
 			Crashes: crashes,
 			Quotas:  quotas,
 			Leaving: leaving,
+			Groups:  groups,
 		}, clock, log.Named("gate"), cache, platform.Dialect{}, counts),
 		identity: wire.Identity{
 			ID:          cfg.ID,
@@ -185,22 +190,6 @@
 	return g
 }
 
-// handleReady answers the platform's readiness check: ready once a routing table is loaded, until
-// the process begins to stop.
-func (g *gateway) handleReady(w http.ResponseWriter, _ *http.Request) {
-	select {
-	case <-g.stopping:
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	default:
-	}
-	if g.cache.Now().Table == nil {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	w.WriteHeader(http.StatusOK)
-}
-
 func (g *gateway) run() error {
 	g.log.Info("start", "id", g.cfg.ID, "domain", g.cfg.Domain, "listen", g.cfg.Listen)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -234,6 +223,7 @@
 		Leaving:      g.leaving,
 		Log:          g.log.Named("peer"),
 	}).Run(ctx)
+	go g.runFeeder(ctx)
 	go g.publisher.Run(ctx)
 	go g.runSweep(ctx)
 	for {
