Move requests off slow instances and off stalled or closed groups

Callers disconnect from a stream after two seconds without an event. While a group made no step, its streams and waiting requests stayed there although another group had room, and one slow rank that kept its streams delayed each step of its group. Instances were left only after silence while others of the service answered, which says nothing of whole groups.

Package loads now decides per request, from the load that all entries know, with the probability at which those that leave fit into the room of the others. The gate only wakes the attempt; its own goroutine checks that the request may run again and reserves the retry before it leaves, so that no state of a request is shared. The connection is reset, and the loss counts neither against the instance nor as a termination.

Run: go test -race -count=1 ./gate ./loads, golangci-lint, go vet ./...

--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -44,6 +44,7 @@
 	verified bool
 	// disconnected is set when the instance closed the connection before the end of its answer.
 	disconnected bool
+	departure    *departure
 }
 
 // run sends the request and handles the answer.
@@ -74,6 +75,8 @@
 	}
 	a.r.sends++
 	sent := r.g.clock.Now()
+	a.trackDeparture()
+	defer r.g.departures.remove(a.departure)
 	r.g.loads.addWaiting(a.instance.Start(), sent)
 	err := a.awaitFirstByte(sent)
 	r.g.loads.removeWaiting(a.instance.Start(), sent)
@@ -106,14 +109,19 @@
 // whole group therefore causes no failover.
 func (a *attempt) awaitFirstByte(sent time.Time) error {
 	r := a.r
-	wait := a.silenceTimeout()
+	// silentAt is zero if silence alone is no reason to fail over.
+	var silentAt time.Time
+	if timeout := a.silenceTimeout(); timeout > 0 {
+		silentAt = r.g.clock.Now().Add(timeout)
+	}
 	for {
 		deadline := r.nextDeadline()
-		if wait > 0 {
-			deadline = earlier(deadline, r.g.clock.Now().Add(wait))
+		if !silentAt.IsZero() {
+			deadline = earlier(deadline, silentAt)
 		}
-		_ = a.conn.SetDeadline(deadline)
+		a.departure.startWait(deadline)
 		_, err := a.conn.Reader.Peek(1)
+		reason := a.departure.endWait()
 		if err == nil {
 			return a.conn.SetDeadline(r.nextDeadline())
 		}
@@ -122,11 +130,17 @@
 		if !errors.As(err, &timeout) || !timeout.Timeout() || !now.Before(r.nextDeadline()) || r.ctx.Err() != nil {
 			return err
 		}
+		if reason != "" {
+			if err := a.tryLeave(reason); err != nil {
+				return err
+			}
+			continue
+		}
 		mayFailOver := r.route.Kind == plan.KindIdempotent || r.g.health.isAnswering(r.service.Name, now) || !a.isOtherSilent()
 		if mayFailOver && r.canFailOver() {
 			return &SilenceTimeoutError{Duration: now.Sub(sent)}
 		}
-		wait = silencePollInterval
+		silentAt = now.Add(silencePollInterval)
 	}
 }
 
@@ -173,6 +187,10 @@
 
 // recordNoAnswer records why an attempt got no answer and returns its verdict.
 func (a *attempt) recordNoAnswer(err error) verdict {
+	var relocation *RelocationError
+	if errors.As(err, &relocation) {
+		return a.recordLeave(relocation.Reason)
+	}
 	a.r.reason = "no_answer"
 	a.disconnected = isDisconnect(err)
 	a.r.g.log.Debug("instance did not answer", "id", a.r.call.ID, "instance", a.instance.ID, "reused", a.conn.Reused, "error", err)
--- a/gate/error.go
+++ b/gate/error.go
@@ -3,6 +3,8 @@
 import (
 	"strconv"
 	"time"
+
+	"geraniumpass/loads"
 )
 
 // MismatchedAnswerError reports that only answers to other requests arrived.
@@ -15,6 +17,16 @@
 	Duration time.Duration
 }
 
+// RelocationError reports that a request leaves an instance although the instance has not failed.
+type RelocationError struct {
+	Reason loads.Reason
+}
+
+// Error returns a message with the reason.
+func (e *RelocationError) Error() string {
+	return "request leaves its instance: " + string(e.Reason)
+}
+
 // Error returns a message with the time waited.
 func (e *SilenceTimeoutError) Error() string {
 	return "no data from instance for " + e.Duration.String()
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -43,13 +43,16 @@
 	verdictLost
 	// verdictFailed means that a complete answer reported a failure.
 	verdictFailed
+	// verdictRelocated means that the request left the instance, which has not failed.
+	verdictRelocated
 	// verdictCallerGone means that the caller disconnected.
 	verdictCallerGone
 )
 
 // tryUpstreams sends the request to upstreams until it is answered or given up, and returns the
 // status sent to the caller.
-func (r *request) tryUpstreams() int {
+func (r *request) tryUpstreams() (status int) {
+	defer func() { r.recordRelocated(status) }()
 	now := r.g.clock.Now()
 	r.g.retryBudget.RecordRequest(now, r.service.Name)
 	// Failed dials don't count as sends, but their number is limited as well.
@@ -80,6 +83,8 @@
 		case verdictCallerGone:
 			return statusCallerGone
 		case verdictNotSent, verdictNotExecuted:
+		case verdictRelocated:
+			r.mayHaveRun = true
 		case verdictLost, verdictFailed:
 			r.mayHaveRun = r.mayHaveRun || v == verdictLost
 			if !r.route.Repeatable() || r.stream.hasUnnumbered {
@@ -203,7 +208,7 @@
 		r.g.loads.recordFailure(in.Start(), failureWeight, now)
 	case verdictNotSent:
 		r.permit.Cancel(now)
-	case verdictCallerGone:
+	case verdictRelocated, verdictCallerGone:
 	}
 	return v, status
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -13,6 +13,7 @@
 	"geraniumpass/core"
 	"geraniumpass/crash"
 	"geraniumpass/leave"
+	"geraniumpass/loads"
 	"geraniumpass/meter"
 	"geraniumpass/pool"
 	"geraniumpass/quota"
@@ -43,6 +44,8 @@
 	Cold ColdAllowance
 	// Leaving holds the instances that announced that they leave; if nil, the gate creates its own.
 	Leaving *leave.Registry
+	// Groups holds the load of the rank groups; if nil, the gate creates its own.
+	Groups *loads.Board
 }
 
 // Gate is an http.Handler that forwards callers' requests to upstreams. It is safe for concurrent
@@ -64,6 +67,8 @@
 	cold             *coldLimits
 	cooldowns        *cooldowns
 	leavingInstances *leave.Registry
+	groups           *loads.Board
+	departures       *departures
 	retryBudget      *retry.WindowBudget
 	meter            *meter.Meter
 
@@ -96,6 +101,10 @@
 	if leaving == nil {
 		leaving = leave.New(clock, log)
 	}
+	groups := opts.Groups
+	if groups == nil {
+		groups = loads.NewBoard(clock)
+	}
 	return &Gate{
 		opts:    opts,
 		clock:   clock,
@@ -116,6 +125,8 @@
 		},
 		cooldowns:        newCooldowns(),
 		leavingInstances: leaving,
+		groups:           groups,
+		departures:       newDepartures(),
 		retryBudget:      retry.NewWindowBudget(opts.Allowance, opts.Started),
 		meter:            m,
 		preferred:        preferredCache{entryName: opts.Name},
--- a/gate/move.go
+++ b/gate/move.go
@@ -14,14 +14,14 @@
 }
 
 // hasAlternative reports whether there is an untried instance that is neither replaced, barred nor
-// blocked. A barred instance is no alternative: a silent instance may still answer, a failing one
-// would not.
+// blocked, and not of a group that the request has left. A barred instance is no alternative: a
+// silent instance may still answer, a failing one would not.
 func (r *request) hasAlternative() bool {
 	snap := r.g.view.Now()
 	now := r.g.clock.Now()
 	fleet := fleetOf(snap)
 	for _, in := range snap.Usable(r.service.Name) {
-		if !r.tried[in.Start()] && !r.g.isReplaced(snap, in) && !r.g.loads.isBarred(in.Start(), now) && !r.g.isBlocked(in.Start(), fleet, now) {
+		if !r.tried[in.Start()] && !r.hasLeft(in.Start()) && !r.g.isReplaced(snap, in) && !r.g.loads.isBarred(in.Start(), now) && !r.g.isBlocked(in.Start(), fleet, now) {
 			return true
 		}
 	}
--- /dev/null
+++ b/gate/relocate.go
@@ -0,0 +1,109 @@
+package gate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+
+	"geraniumpass/loads"
+	"geraniumpass/retry"
+)
+
+const (
+	// moveDecisionInterval is how long a request that has a reason to leave and stays is not decided
+	// on again, so that the load of the others includes those that have left.
+	moveDecisionInterval = 250 * time.Millisecond
+	// relocationInterval is the shortest time between two evaluations.
+	relocationInterval = 100 * time.Millisecond
+)
+
+// departures holds the attempts that may leave their instances. It is safe for concurrent use.
+type departures struct {
+	mu  sync.Mutex
+	all map[*departure]struct{}
+}
+
+func newDepartures() *departures {
+	return &departures{all: make(map[*departure]struct{})}
+}
+
+func (d *departures) add(one *departure) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.all[one] = struct{}{}
+}
+
+func (d *departures) remove(one *departure) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.all, one)
+}
+
+// due returns the attempts that may be decided on at now.
+func (d *departures) due(now time.Time) []*departure {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return lo.Filter(lo.Keys(d.all), func(one *departure, _ int) bool { return one.isDue(now) })
+}
+
+// RunRelocation calls Relocate whenever the load of the groups has changed, until ctx is done.
+func (g *Gate) RunRelocation(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := g.groups.Changed()
+		g.Relocate()
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+		retry.Sleep(ctx, relocationInterval)
+	}
+}
+
+// Relocate asks the requests that should leave their instances to do so.
+func (g *Gate) Relocate() {
+	now := g.clock.Now()
+	due := g.departures.due(now)
+	if len(due) == 0 {
+		return
+	}
+	recent := g.groups.Recent()
+	byService := make(map[string]map[string]loads.Status)
+	for _, d := range due {
+		groups, ok := byService[d.service]
+		if !ok {
+			groups = g.groupsOf(d.service, recent)
+			byService[d.service] = groups
+		}
+		own, ok := recent[g.groups.GroupOf(d.placement.Start)]
+		if !ok {
+			continue
+		}
+		move := loads.Decide(own, groups, d.placement, g.randomFloat())
+		if move.Reason != "" {
+			d.recordDraw(now)
+		}
+		if move.Leaves {
+			d.ask(move.Reason)
+		}
+	}
+}
+
+// groupsOf returns the groups that have a usable instance of the service.
+func (g *Gate) groupsOf(service string, recent map[string]loads.Status) map[string]loads.Status {
+	out := make(map[string]loads.Status)
+	for _, in := range g.view.Now().Usable(service) {
+		name := g.groups.GroupOf(in.Start())
+		if s, ok := recent[name]; ok {
+			out[name] = s
+		}
+	}
+	return out
+}
+
+func (g *Gate) randomFloat() float64 {
+	g.randomMu.Lock()
+	defer g.randomMu.Unlock()
+	return g.random.Float64()
+}
--- a/gate/request.go
+++ b/gate/request.go
@@ -40,6 +40,10 @@
 	// attempts, including failed dials.
 	sends int
 	tried map[core.Start]bool
+	// left holds the names of the groups that the request left because they were stalled or closed.
+	// relocated is set once it left an instance.
+	left      []string
+	relocated bool
 	// retryReserved is set while a retry was taken from the budget and not used yet.
 	retryReserved bool
 	// mayHaveRun is set once the request may have run without an answer reaching this entry.
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -29,6 +29,10 @@
 	chunk := make([]byte, readChunkBytes)
 	for {
 		if err := a.awaitMoreData(resp); err != nil {
+			var relocation *RelocationError
+			if errors.As(err, &relocation) {
+				return a.recordLeave(relocation.Reason), 0
+			}
 			r.reason = disconnectReason(err)
 			a.disconnected = isDisconnect(err)
 			return a.orCallerGone(verdictLost), 0
@@ -95,10 +99,11 @@
 		return nil
 	}
 	lastData := r.g.clock.Now()
-	wait := r.streamSilenceTimeout()
+	silentAt := lastData.Add(r.streamSilenceTimeout())
 	for {
-		_ = a.conn.SetDeadline(earlier(r.deadline, r.g.clock.Now().Add(wait)))
+		a.departure.startWait(earlier(r.deadline, silentAt))
 		_, err := a.conn.Reader.Peek(1)
+		reason := a.departure.endWait()
 		if err == nil || errors.Is(err, io.EOF) {
 			return a.conn.SetDeadline(r.deadline)
 		}
@@ -109,10 +114,16 @@
 			// answer.
 			return err
 		}
+		if reason != "" {
+			if err := a.tryLeave(reason); err != nil {
+				return err
+			}
+			continue
+		}
 		if r.g.health.answeredAfter(r.service.Name, lastData) > answeringWindow && r.canFailOver() {
 			return &SilenceTimeoutError{Duration: now.Sub(lastData)}
 		}
-		wait = silencePollInterval
+		silentAt = now.Add(silencePollInterval)
 	}
 }
 
