--- a/gate/gate.go
+++ b/gate/gate.go
@@ -68,6 +68,7 @@
 	cooldowns        *cooldowns
 	leavingInstances *leave.Registry
 	groups           *loads.Board
+	departures       *departures
 	retryBudget      *retry.WindowBudget
 	meter            *meter.Meter
 
@@ -125,6 +126,7 @@
 		cooldowns:        newCooldowns(),
 		leavingInstances: leaving,
 		groups:           groups,
+		departures:       newDepartures(),
 		retryBudget:      retry.NewWindowBudget(opts.Allowance, opts.Started),
 		meter:            m,
 		preferred:        preferredCache{entryName: opts.Name},
--- a/gate/groups.go
+++ b/gate/groups.go
@@ -18,8 +18,8 @@
 	groupChoices = 4
 )
 
-// groupMetrics counts the picks with and without a recent status of the instances' groups.
-var groupMetrics = expvar.NewMap("group_load")
+// groupPicks counts the picks among instances whose groups have a recent status and among others.
+var groupPicks = expvar.NewMap("group_picks")
 
 // condition is what the status of a group says about one of its instances. The zero value means that
 // nothing recent is known.
@@ -40,8 +40,10 @@
 	out := make([]condition, len(starts))
 	groups := g.groups.Recent()
 	if len(groups) == 0 {
+		groupPicks.Add("unknown", 1)
 		return out
 	}
+	groupPicks.Add("known", 1)
 	ranks := make(map[core.Start]loads.Rank)
 	for _, s := range groups {
 		for _, r := range s.Ranks {
--- a/start/gateway.go
+++ b/start/gateway.go
@@ -224,6 +224,7 @@
 		Log:          g.log.Named("peer"),
 	}).Run(ctx)
 	go g.runFeeder(ctx)
+	go g.gate.RunRelocation(ctx)
 	go g.publisher.Run(ctx)
 	go g.runSweep(ctx)
 	for {
