--- a/feed/link.go
+++ b/feed/link.go
@@ -15,6 +15,9 @@
 	dialTimeout = 400 * time.Millisecond
 	// silenceTimeout is how long an agent may send nothing. Agents send several times within it.
 	silenceTimeout = 500 * time.Millisecond
+	// renewInterval is how often a subscription is renewed, since agents close links on which they
+	// receive nothing for some seconds.
+	renewInterval = 2 * time.Second
 )
 
 // end is why a subscription ended.
@@ -53,7 +56,7 @@
 		return endUnreachable
 	}
 	defer l.Close()
-	if err := l.Send(&proto.Frame{GroupLoadRequest: &proto.GroupLoadRequest{}}); err != nil {
+	if err := subscribe(l); err != nil {
 		return endClosed
 	}
 	messages := make(chan *proto.GroupLoad)
@@ -61,6 +64,11 @@
 	return f.consume(ctx, l, messages, heard)
 }
 
+// subscribe begins or renews the subscription of a link.
+func subscribe(l *wire.Link) error {
+	return l.Send(&proto.Frame{GroupLoadRequest: &proto.GroupLoadRequest{}})
+}
+
 func (f *Feeder) receive(l *wire.Link, messages chan<- *proto.GroupLoad) {
 	err := l.Receive(func(fr *proto.Frame) {
 		if fr.GroupLoad == nil {
@@ -78,6 +86,8 @@
 	var decoder loads.Decoder
 	silence := f.Clock.NewTimer(silenceTimeout)
 	defer silence.Stop()
+	renew := f.Clock.NewTicker(renewInterval)
+	defer renew.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -87,6 +97,10 @@
 		case <-silence.Chan():
 			counts.Add(countSilent, 1)
 			return endSilent
+		case <-renew.Chan():
+			if err := subscribe(l); err != nil {
+				return endClosed
+			}
 		case m := <-messages:
 			counts.Add(countMessages, 1)
 			g, err := decoder.Decode(m)
