Count how long each map switch holds a step until it orders the release

Between the two orders a group stands for as long as the machine that holds, or one that isn't armed yet, is frozen. Operators saw only the whole hold per log line. The leader now counts the time in buckets in /debug/vars and logs it per switch, in holds that it ordered itself.

--- a/group/lead.go
+++ b/group/lead.go
@@ -109,9 +109,10 @@
 	copies   int
 	demand   place.Demand
 	// margin estimates how far ahead holds must lie; holdSince is when the hold of the current
-	// switch was ordered, zero before that.
+	// switch was ordered, zero before that; holdToGo is the time from then until its end was ordered.
 	margin     shift.Margin
 	holdSince  time.Time
+	holdToGo   time.Duration
 	phaseSince time.Time
 	phase      shift.Phase
 	// askedAt is when the leader last began to query all ranks; askNotBefore is the earliest time
--- a/group/phases.go
+++ b/group/phases.go
@@ -45,6 +45,9 @@
 	switch {
 	case d.phase == shift.PhaseHold:
 		d.holdSince = now
+		d.holdToGo = 0
+	case d.phase == shift.PhaseGo:
+		d.recordGo(now)
 	case d.phase == shift.PhaseIdle && from == shift.PhaseGo:
 		d.recordSwitch(now)
 		d.sets, d.inUse = d.nextSets, d.leader.Version
@@ -58,7 +61,7 @@
 		d.askNotBefore = d.askedAt.Add(askInterval)
 		d.askedAt = now
 		d.nextSets, d.inUse = nil, shift.None
-		d.holdSince = time.Time{}
+		d.holdSince, d.holdToGo = time.Time{}, 0
 		d.m.Log.Info("querying all ranks", "group", d.group, "from", from.String())
 	case d.phase == shift.PhaseIdle, d.phase == shift.PhaseRelease:
 		if from == shift.PhasePrepare || from == shift.PhaseHold {
@@ -69,6 +72,16 @@
 	}
 }
 
+// recordGo counts the time from the order of a hold to the order that ends it, unless another leader
+// ordered the hold.
+func (d *leadership) recordGo(now time.Time) {
+	if d.holdSince.IsZero() {
+		return
+	}
+	d.holdToGo = now.Sub(d.holdSince)
+	holdTimes.Add(holdTimeBucket(d.holdToGo), 1)
+}
+
 // recordSwitch counts a completed switch and reports the duration of its hold to the margin.
 func (d *leadership) recordSwitch(now time.Time) {
 	mapSwitches.Add(1)
@@ -79,7 +92,8 @@
 		d.margin.ObserveSwitch(now, held)
 	}
 	d.holdSince = time.Time{}
-	d.m.Log.Info("map switched", "group", d.group, "version", d.leader.Version, "step", d.leader.Step, "copies", d.copies, "held", held.String())
+	d.m.Log.Info("map switched", "group", d.group, "version", d.leader.Version, "step", d.leader.Step, "copies", d.copies,
+		"hold_to_go", d.holdToGo.String(), "held", held.String())
 }
 
 // abandonOverdue abandons a switch that exceeds its timeout before any rank is armed.
