Check that a stream stays when no repeat is left

A stream that left without a retry would break the budget of its service. Without the check of the budget in tryLeave, the new case fails.

Run: go test -race -count=5 ./gate (the tests of relocation), golangci-lint

--- a/gate/relocate_test.go
+++ b/gate/relocate_test.go
@@ -33,7 +33,8 @@
 	front   *httptest.Server
 }
 
-func newRelocationSite(t *testing.T) *relocationSite {
+// newRelocationSite returns a site whose gate may spend the given number of retries.
+func newRelocationSite(t *testing.T, retries float64) *relocationSite {
 	t.Helper()
 	clock, log := clockwork.NewRealClock(), hclog.NewNullLogger()
 	s := &relocationSite{
@@ -70,7 +71,7 @@
 	cache.Apply(view.Change{Rev: 1, Full: true, Table: table, Put: s.list, Members: map[string]string{"front-1": "x"}})
 	g := gate.New(gate.Options{
 		Name:      "front-1",
-		Allowance: retry.Allowance{Slack: 50, Window: 10 * time.Second},
+		Allowance: retry.Allowance{Slack: retries, Window: 10 * time.Second},
 		Started:   clock.Now().Add(-time.Minute),
 		Groups:    s.board,
 	}, clock, log, cache, platform.Dialect{}, meter.New(clock))
@@ -190,7 +191,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			s := newRelocationSite(t)
+			s := newRelocationSite(t, 50)
 			for _, srv := range s.servers {
 				if tt.hangAfter == 0 {
 					srv.SetMode(emul.ModeHang)
@@ -226,27 +227,43 @@
 	}
 }
 
-// TestStreamStaysWithoutRoomElsewhere guards against a full group that gets the streams of a stalled
-// one: its own would be late as well, while the stalled one may go on any moment.
-func TestStreamStaysWithoutRoomElsewhere(t *testing.T) {
-	s := newRelocationSite(t)
-	for _, srv := range s.servers {
-		srv.HangAfter(2)
+// TestStreamStaysWhereItMayNotLeave guards against a full group that gets the streams of a stalled one,
+// whose own streams would then be late as well, and against more repeats than the budget allows. The
+// stalled group may go on any moment.
+func TestStreamStaysWhereItMayNotLeave(t *testing.T) {
+	tests := []struct {
+		name    string
+		retries float64
+		change  func(own, other *loads.Group)
+	}{
+		{"the other group is full", 50, stallWithoutRoom},
+		{"no repeat is left", 0, stall},
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 700*time.Millisecond)
-	defer cancel()
-	own, answered := s.start(ctx, "/flow/x")
-	go s.report(ctx, own, stallWithoutRoom)
-	<-answered
-	if n := s.servers[1-own].Arrivals(); n != 0 {
-		t.Errorf("%d requests at the full group", n)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newRelocationSite(t, tt.retries)
+			for _, srv := range s.servers {
+				srv.HangAfter(2)
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 700*time.Millisecond)
+			defer cancel()
+			own, answered := s.start(ctx, "/flow/x")
+			go s.report(ctx, own, tt.change)
+			got := <-answered
+			if want := emul.Event("r-1", 0) + emul.Event("r-1", 1) + context.DeadlineExceeded.Error(); !strings.HasSuffix(got, want) {
+				t.Errorf("the stream ended before its caller left: %q", got)
+			}
+			if n := s.servers[1-own].Arrivals(); n != 0 {
+				t.Errorf("%d requests at the other group", n)
+			}
+		})
 	}
 }
 
 // TestRequestsThatMayRunOnceStay guards against a second run of a request that must not be repeated.
 func TestRequestsThatMayRunOnceStay(t *testing.T) {
 	for _, path := range []string{"/once/x", "/pour/x"} {
-		s := newRelocationSite(t)
+		s := newRelocationSite(t, 50)
 		for _, srv := range s.servers {
 			srv.SetMode(emul.ModeHang)
 		}
