Evaluate at once when the load of groups changes

A change was evaluated 100 ms after it had come; the pause now follows the evaluation instead. Also check that a server that a request has left gets no failure score for it: a score would keep callers away from it once its group goes on. The check fails if the loss is recorded.

Run: go test -race -count=1 ./gate ./loads, golangci-lint, go vet ./...

--- a/gate/relocate.go
+++ b/gate/relocate.go
@@ -53,11 +53,11 @@
 	for ctx.Err() == nil {
 		changed := g.groups.Changed()
 		g.Relocate()
+		retry.Sleep(ctx, relocationInterval)
 		select {
 		case <-ctx.Done():
 		case <-changed:
 		}
-		retry.Sleep(ctx, relocationInterval)
 	}
 }
 
--- a/gate/relocate_test.go
+++ b/gate/relocate_test.go
@@ -30,6 +30,7 @@
 	servers []*emul.Server
 	list    []core.Instance
 	board   *loads.Board
+	gate    *gate.Gate
 	front   *httptest.Server
 }
 
@@ -85,6 +86,7 @@
 		cancel()
 		<-ended
 	})
+	s.gate = g
 	s.front = httptest.NewServer(g)
 	t.Cleanup(s.front.Close)
 	return s
@@ -174,7 +176,8 @@
 
 // TestRequestsGoOnElsewhere guards against callers that leave because the group of their stream makes
 // no step, is slowed by one rank, or is closed, while another group has room. Each gets all events
-// once, long before the 2 s after which callers disconnect.
+// once, long before the 2 s after which callers disconnect. The server that they left has not failed
+// and must not be barred for it.
 func TestRequestsGoOnElsewhere(t *testing.T) {
 	tests := []struct {
 		name string
@@ -220,6 +223,9 @@
 			if n := s.servers[own].Runs("r-1"); n != 1 {
 				t.Errorf("sent %d times to the first server", n)
 			}
+			if n := s.gate.FailureScore(s.list[own].Start()); n != 0 {
+				t.Errorf("the first server has a failure score of %.1f", n)
+			}
 			if relocationCount(string(tt.reason)) != byReason+1 || relocationCount("completed") != completed+1 {
 				t.Errorf("relocations are %v", expvar.Get("relocations"))
 			}
