--- a/gate/relocate_test.go
+++ b/gate/relocate_test.go
@@ -30,10 +30,12 @@
 	servers []*emul.Server
 	list    []core.Instance
 	board   *loads.Board
+	gate    *gate.Gate
 	front   *httptest.Server
 }
 
-func newRelocationSite(t *testing.T) *relocationSite {
+// newRelocationSite returns a site whose gate may spend the given number of retries.
+func newRelocationSite(t *testing.T, retries float64) *relocationSite {
 	t.Helper()
 	clock, log := clockwork.NewRealClock(), hclog.NewNullLogger()
 	s := &relocationSite{
@@ -64,13 +66,12 @@
 		},
 		Services: []plan.Service{{Name: "svc", MaxConnections: 100}},
 		Limits:   plan.Limits{BodyBytes: 1 << 10},
-		Accounts: []plan.Account{{Name: "acme", Keys: []string{"key-1"}}},
 	}).Compile()
 	cache := view.NewCache("front-1", clock, log)
 	cache.Apply(view.Change{Rev: 1, Full: true, Table: table, Put: s.list, Members: map[string]string{"front-1": "x"}})
 	g := gate.New(gate.Options{
 		Name:      "front-1",
-		Allowance: retry.Allowance{Slack: 50, Window: 10 * time.Second},
+		Allowance: retry.Allowance{Slack: retries, Window: 10 * time.Second},
 		Started:   clock.Now().Add(-time.Minute),
 		Groups:    s.board,
 	}, clock, log, cache, platform.Dialect{}, meter.New(clock))
@@ -84,6 +85,7 @@
 		cancel()
 		<-ended
 	})
+	s.gate = g
 	s.front = httptest.NewServer(g)
 	t.Cleanup(s.front.Close)
 	return s
@@ -101,7 +103,6 @@
 			return
 		}
 		req.URL.Path = path
-		req.Header.Set("X-Credential", "key-1")
 		resp, err := http.DefaultClient.Do(req)
 		if err != nil {
 			answered <- err.Error()
@@ -173,7 +174,8 @@
 
 // TestRequestsGoOnElsewhere guards against callers that leave because the group of their stream makes
 // no step, is slowed by one rank, or is closed, while another group has room. Each gets all events
-// once, long before the 2 s after which callers disconnect.
+// once, long before the 2 s after which callers disconnect. The server that they left has not failed
+// and must not be barred for it.
 func TestRequestsGoOnElsewhere(t *testing.T) {
 	tests := []struct {
 		name string
@@ -190,7 +192,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			s := newRelocationSite(t)
+			s := newRelocationSite(t, 50)
 			for _, srv := range s.servers {
 				if tt.hangAfter == 0 {
 					srv.SetMode(emul.ModeHang)
@@ -219,6 +221,9 @@
 			if n := s.servers[own].Runs("r-1"); n != 1 {
 				t.Errorf("sent %d times to the first server", n)
 			}
+			if n := s.gate.FailureScore(s.list[own].Start()); n != 0 {
+				t.Errorf("the first server has a failure score of %.1f", n)
+			}
 			if relocationCount(string(tt.reason)) != byReason+1 || relocationCount("completed") != completed+1 {
 				t.Errorf("relocations are %v", expvar.Get("relocations"))
 			}
@@ -226,27 +231,43 @@
 	}
 }
 
-// TestStreamStaysWithoutRoomElsewhere guards against a full group that gets the streams of a stalled
-// one: its own would be late as well, while the stalled one may go on any moment.
-func TestStreamStaysWithoutRoomElsewhere(t *testing.T) {
-	s := newRelocationSite(t)
-	for _, srv := range s.servers {
-		srv.HangAfter(2)
+// TestStreamStaysWhereItMayNotLeave guards against a full group that gets the streams of a stalled one,
+// whose own streams would then be late as well, and against more repeats than the budget allows. The
+// stalled group may go on any moment.
+func TestStreamStaysWhereItMayNotLeave(t *testing.T) {
+	tests := []struct {
+		name    string
+		retries float64
+		change  func(own, other *loads.Group)
+	}{
+		{"the other group is full", 50, stallWithoutRoom},
+		{"no repeat is left", 0, stall},
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 700*time.Millisecond)
-	defer cancel()
-	own, answered := s.start(ctx, "/flow/x")
-	go s.report(ctx, own, stallWithoutRoom)
-	<-answered
-	if n := s.servers[1-own].Arrivals(); n != 0 {
-		t.Errorf("%d requests at the full group", n)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newRelocationSite(t, tt.retries)
+			for _, srv := range s.servers {
+				srv.HangAfter(2)
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 700*time.Millisecond)
+			defer cancel()
+			own, answered := s.start(ctx, "/flow/x")
+			go s.report(ctx, own, tt.change)
+			got := <-answered
+			if want := emul.Event("r-1", 0) + emul.Event("r-1", 1) + context.DeadlineExceeded.Error(); !strings.HasSuffix(got, want) {
+				t.Errorf("the stream ended before its caller left: %q", got)
+			}
+			if n := s.servers[1-own].Arrivals(); n != 0 {
+				t.Errorf("%d requests at the other group", n)
+			}
+		})
 	}
 }
 
 // TestRequestsThatMayRunOnceStay guards against a second run of a request that must not be repeated.
 func TestRequestsThatMayRunOnceStay(t *testing.T) {
 	for _, path := range []string{"/once/x", "/pour/x"} {
-		s := newRelocationSite(t)
+		s := newRelocationSite(t, 50)
 		for _, srv := range s.servers {
 			srv.SetMode(emul.ModeHang)
 		}
