--- a/group/condition.go
+++ b/group/condition.go
@@ -7,9 +7,8 @@
 	"geraniumpass/loads"
 )
 
-// stalledAfter is the time without a step from which a group counts as stalled. It is above the hold of
-// a map switch and the steps of a full group, and below what callers accept as a pause together with
-// the time that a stream needs to go on elsewhere.
+// stalledAfter is the time without a step from which a group counts as stalled: above the hold of a map
+// switch together with the steps of a full group.
 const stalledAfter = 250 * time.Millisecond
 
 // condition is the part of a group's load whose changes are sent at once.
