Keep a stalled group out of use until it makes a step

The stall now lasts until a step is seen; a small share of the picks, made at random by each entry, tries it.

--- a/gate/groups.go
+++ b/gate/groups.go
@@ -16,6 +16,9 @@
 	// from agents. All entries see the same loads, so that without the random choice all of them would
 	// pick the same instance until the next status.
 	groupChoices = 4
+	// probeShare is the share of picks that may take a stalled group without requests, which makes no
+	// step that would show that it goes on again.
+	probeShare = 0.03
 )
 
 // groupPicks counts the picks among instances whose groups have a recent status and among others.
@@ -27,6 +30,8 @@
 	known  bool
 	open   bool
 	usable bool
+	// idle is set if no rank of the group is known to have requests.
+	idle bool
 	// hasLoad is set if the rank's load is recent; load is the requests in its batch and queue as of
 	// loadAt.
 	hasLoad bool
@@ -57,6 +62,7 @@
 		}
 		c := &out[i]
 		c.known, c.open, c.usable = true, s.Open, s.IsUsable(route.Gap)
+		c.idle = s.Running()+s.Waiting() == 0
 		r, ok := ranks[start]
 		if age := s.Age + s.RanksAge; ok && age < maxLoadAge {
 			c.hasLoad, c.load, c.loadAt = true, float64(r.Running+r.Waiting), now.Add(-age)
@@ -76,6 +82,11 @@
 	return len(conditions) > 0
 }
 
+// isAvoided reports whether an instance gets requests only if there is none in a usable group.
+func (c *condition) isAvoided(isProbe bool) bool {
+	return c.known && !c.usable && !(isProbe && c.open && c.idle)
+}
+
 // anyUsable reports whether the group of an instance is known to make progress.
 func anyUsable(conditions []condition) bool {
 	for i := range conditions {
--- a/gate/pick.go
+++ b/gate/pick.go
@@ -43,6 +43,7 @@
 	preferred := r.g.preferredInstances(snap, r.service.Name)
 	answering := r.g.health.isAnswering(r.service.Name, now)
 	avoidUnusable := anyUsable(conditions)
+	isProbe := r.g.pickRandom.Float64() < probeShare
 	starts := lo.Map(list, func(in core.Instance, _ int) core.Start { return in.Start() })
 	views := make([]route.InstanceView, len(list))
 	for i, e := range r.g.loads.estimates(starts, now) {
@@ -52,7 +53,7 @@
 			e.load = c.load + float64(r.g.loads.begunSince(in.Start(), c.loadAt))
 		}
 		isSilent := answering && r.g.loads.silentFor(in.Start(), now) > maxSilence
-		isAvoided := avoidUnusable && c.known && !c.usable
+		isAvoided := avoidUnusable && c.isAvoided(isProbe) || r.hasLeft(in.Start())
 		views[i] = route.InstanceView{
 			Domain:      in.Domain,
 			Load:        e.load,
--- a/group/sight.go
+++ b/group/sight.go
@@ -20,7 +20,8 @@
 	startsVersion int64
 }
 
-// observe takes a report of the own engine and reports whether the group has requests.
+// observe takes a report of the own engine and reports whether the group has requests or is stalled, so
+// that its next step should be seen soon.
 func (s *sight) observe(now time.Time, rep *Report) bool {
 	if rep.Group != s.own.Group || rep.Epoch != s.own.Epoch {
 		s.ranks = nil
@@ -36,7 +37,7 @@
 		Waiting:    rep.Waiting,
 		OthersBusy: othersBusy,
 	})
-	return rep.Running > 0 || rep.Waiting > 0 || othersBusy
+	return rep.Running > 0 || rep.Waiting > 0 || othersBusy || s.tracker.StalledFor() > 0
 }
 
 func (s *sight) areOthersBusy(now time.Time) bool {
--- a/loads/tracker.go
+++ b/loads/tracker.go
@@ -12,6 +12,11 @@
 	// idleAfter is the time without a step and without known work from which a group is idle. It is
 	// above the time of slow steps, since an agent without a leader doesn't know of the others' work.
 	idleAfter = time.Second
+	// stallBegins is the time without a step from which a group with work is stalled, above the time of
+	// usual steps and of a hold for a change of the map.
+	stallBegins = 250 * time.Millisecond
+	// stallEnds is how long a group without work counts as stalled unless it makes a step.
+	stallEnds = 10 * time.Second
 )
 
 // Observation is what an agent reads of its own engine at one moment.
@@ -43,6 +48,9 @@
 	stepAt      time.Time
 	busySince   time.Time
 	closedSince time.Time
+	// stalledSince is when a stall began whose requests have left since, zero if there is none. Without
+	// requests there is no step that would show its end.
+	stalledSince time.Time
 	// seen holds the steps observed within stepWindow and the one before them.
 	seen []seenStep
 }
@@ -58,7 +66,13 @@
 		t.reset(now, o)
 	}
 	stepped := o.Step > t.last.Step
+	if !o.isBusy() && !t.busySince.IsZero() && t.StalledFor() >= stallBegins {
+		t.stalledSince = t.observedAt.Add(-t.StalledFor())
+	}
 	t.last, t.observedAt = o, now
+	if stepped || now.Sub(t.stalledSince) > stallEnds {
+		t.stalledSince = time.Time{}
+	}
 	t.busySince = since(t.busySince, now, o.isBusy())
 	t.closedSince = since(t.closedSince, now, !o.Open)
 	if stepped {
@@ -80,6 +94,7 @@
 	t.last = o
 	t.stepAt = now
 	t.busySince = time.Time{}
+	t.stalledSince = time.Time{}
 	t.seen = nil
 }
 
@@ -120,8 +135,12 @@
 }
 
 // StalledFor returns the time since the last step was first observed, or since there is work if that
-// is later; zero if the group has no work. A hold for a change of the map counts like any other time.
+// is later; zero if the group has no work, unless all of it left a stalled group. A hold for a change of
+// the map counts like any other time.
 func (t *Tracker) StalledFor() time.Duration {
+	if !t.stalledSince.IsZero() {
+		return t.observedAt.Sub(t.stalledSince)
+	}
 	if t.busySince.IsZero() {
 		return 0
 	}
--- a/loads/tracker_test.go
+++ b/loads/tracker_test.go
@@ -110,6 +110,30 @@
 	}
 }
 
+// TestTrackerKeepsStallWhenItsRequestsLeave guards against a stalled group that gets new requests as soon
+// as those that ran in it have moved: without them nothing shows that it still makes no step.
+func TestTrackerKeepsStallWhenItsRequestsLeave(t *testing.T) {
+	stalled := append(everyRead(0, 960, 60, 80), reading{ms: 1460, step: 12, busy: true})
+	tests := []struct {
+		name     string
+		readings []reading
+		want     time.Duration
+	}{
+		{"all requests left", slices.Concat(stalled, []reading{{ms: 1960, step: 12}}), time.Second},
+		{"a request came and left", slices.Concat(stalled, []reading{{ms: 1560, step: 12}, {ms: 1700, step: 12, busy: true}, {ms: 1960, step: 12}}), time.Second},
+		{"a step followed", slices.Concat(stalled, []reading{{ms: 1960, step: 12}, {ms: 2060, step: 13, busy: true}, {ms: 2200, step: 13}}), 0},
+		{"for long", slices.Concat(stalled, []reading{{ms: 1560, step: 12}, {ms: 13000, step: 12}}), 0},
+		{"usual end of work", append(everyRead(0, 960, 60, 80), reading{ms: 1020, step: 12}, reading{ms: 1460, step: 12}), 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if got := observeAll(slices.Clone(tt.readings)).StalledFor(); got != tt.want {
+				t.Errorf("stalled for %s, want %s", got, tt.want)
+			}
+		})
+	}
+}
+
 // TestTrackerSeesStallOfOthers guards against a rank without requests that reports its stalled group as
 // idle.
 func TestTrackerSeesStallOfOthers(t *testing.T) {
