Add the decisions on room, turn and work of a request for engines

No entry knew how many streams a group can run while its steps stay within the permitted pause, so none refused any. Shedder derives the room from the statuses that all entries share, and all admit the same share by rank, fair share of the account and lateness.

--- /dev/null
+++ b/admit/room.go
@@ -0,0 +1,160 @@
+package admit
+
+import (
+	"math"
+	"time"
+
+	"geraniumpass/plan"
+)
+
+const (
+	// fillShare is the share of the room that is aimed at while more is wanted.
+	fillShare = 0.98
+	// correctionTime is the time in which a difference from the room is made up for. It is longer than
+	// the delay of the statuses, which all entries act on together.
+	correctionTime = 400 * time.Millisecond
+	// demandWindow is the time constant in which the admitted share and the demand are smoothed.
+	demandWindow = 300 * time.Millisecond
+	// minKnownShare is the admitted share below which the demand can't be derived from the inflow.
+	minKnownShare = 0.1
+	// calmShare is the share of the permitted pause below which steps are calm.
+	calmShare = 0.7
+	// queueSteps is how many steps before its target a queued request should begin.
+	queueSteps = 2
+	// maxGroups bounds the number of groups that are remembered.
+	maxGroups = 256
+)
+
+// room is the state of all groups of a service: what they hold, what they can hold, and the share of
+// requests that is admitted. All entries derive the same share from the same statuses.
+type room struct {
+	loads map[string]*load
+	// share is the admitted share, demand the requests per second that all entries are asked for.
+	share     float64
+	demand    float64
+	updatedAt time.Time
+}
+
+// space is the room of the usable groups for one pair of targets.
+type space struct {
+	// known is false if no group is usable or one of them has told nothing of its ranks.
+	known bool
+	calm  bool
+	// limit is how many requests the groups can hold, requests how many they are expected to hold.
+	limit    float64
+	requests float64
+	// outflow and inflow are requests per second that finish and that are admitted.
+	outflow float64
+	inflow  float64
+	// step and life are the longest duration of a step and of a stream in any group.
+	step time.Duration
+	life time.Duration
+}
+
+// observe records the statuses of the groups and reports whether one of them is new.
+func (r *room) observe(now time.Time, terms engineTerms, groups []Group) bool {
+	changed := false
+	for i := range groups {
+		g := &groups[i]
+		l := r.loads[g.Name]
+		if l == nil {
+			if len(r.loads) >= maxGroups {
+				r.sweep(now)
+			}
+			l = &load{}
+			r.loads[g.Name] = l
+		}
+		changed = l.update(now, terms, *g) || changed
+	}
+	return changed
+}
+
+func (r *room) sweep(now time.Time) {
+	for name, l := range r.loads {
+		if now.Sub(l.measuredAt) > forgetLoad {
+			delete(r.loads, name)
+		}
+	}
+}
+
+// space returns the room for requests with the given targets.
+func (r *room) space(now time.Time, terms engineTerms, groups []Group, aim, gap time.Duration) space {
+	s := space{
+		calm: true,
+	}
+	for i := range groups {
+		g := &groups[i]
+		if !g.Usable {
+			continue
+		}
+		if g.Ranks <= 0 {
+			return space{}
+		}
+		l := r.loads[g.Name]
+		if l == nil {
+			return space{}
+		}
+		s.known = true
+		limit := groupLimit(terms, g, l, aim, gap)
+		s.limit += limit
+		s.requests += l.expected(now, limit)
+		s.outflow += float64(g.Running) / terms.life(l.step).Seconds()
+		s.inflow += l.inflow
+		s.step = max(s.step, l.step)
+		if g.Waiting > 0 || gap > 0 && float64(g.StepTime) > calmShare*float64(gap) {
+			s.calm = false
+		}
+	}
+	s.life = terms.life(s.step)
+	s.calm = s.calm && s.requests < s.limit
+	return s
+}
+
+// groupLimit returns how many requests a group can hold: as many as it can run with steps in time
+// and, if the slots are what bounds it, those that still begin in time after waiting.
+func groupLimit(terms engineTerms, g *Group, l *load, aim, gap time.Duration) float64 {
+	perRank := terms.runnable(l.unevenness, gap)
+	limit := perRank * float64(g.Ranks)
+	if perRank < float64(terms.slots) {
+		return limit
+	}
+	step := terms.step(l.unevenness, perRank)
+	wait := max(aim-queueSteps*step, 0)
+	return limit * (1 + min(wait.Seconds()/terms.life(step).Seconds(), maxTrend))
+}
+
+// admitted returns the share of requests to be admitted: as many as finish, and as many more or less
+// as the groups lack or exceed.
+func (r *room) admitted(s space) float64 {
+	wanted := s.outflow + (fillShare*s.limit-s.requests)/correctionTime.Seconds()
+	switch {
+	case s.calm:
+		return 1
+	case wanted <= 0:
+		return 0
+	case r.demand <= wanted:
+		return 1
+	}
+	return wanted / r.demand
+}
+
+// learn updates the demand after new statuses. The inflow is what all entries have admitted, each of
+// them by the same share, so that it tells how much was asked for.
+func (r *room) learn(now time.Time, s space) {
+	since := now.Sub(r.updatedAt)
+	r.updatedAt = now
+	if since > forgetLoad {
+		r.share = 1
+		r.demand = s.inflow
+	}
+	gain := 1 - math.Exp(-since.Seconds()/demandWindow.Seconds())
+	if r.share > minKnownShare {
+		r.demand += gain * (s.inflow/r.share - r.demand)
+	}
+	r.share += gain * (r.admitted(s) - r.share)
+}
+
+// usableEngine reports whether the published terms suffice to derive the room of a group.
+func usableEngine(e *plan.Engine) bool {
+	return e != nil && e.Slots > 0 && e.StepMs > 0 && e.Answer > 0
+}
--- /dev/null
+++ b/admit/shed.go
@@ -0,0 +1,151 @@
+package admit
+
+import (
+	"sync"
+	"time"
+
+	"geraniumpass/plan"
+)
+
+const (
+	// backlogTime is the period whose refused requests are expected back together.
+	backlogTime = time.Second
+	// maxRetryAfter bounds the time after which a refused caller is asked to come back.
+	maxRetryAfter = 5 * time.Second
+)
+
+// Shedder refuses the requests that the groups of a service have no room for. All entries act on the
+// same statuses of the groups and admit the same share of their requests, so that no room has to be
+// divided between them. It is safe for concurrent use.
+type Shedder struct {
+	random func() float64
+
+	mu     sync.Mutex
+	room   room
+	turns  turns
+	shares *shares
+	work   work
+	aim    time.Duration
+}
+
+// New returns a shedder without knowledge of its service; random returns numbers in [0, 1).
+func New(random func() float64) *Shedder {
+	return &Shedder{
+		random: random,
+		room: room{
+			loads: make(map[string]*load),
+			share: 1,
+		},
+		shares: newShares(),
+		work: work{
+			byClass: make(map[string]*answers),
+		},
+	}
+}
+
+// Observe records statuses of all groups. Entries with few requests call it with each new status,
+// since the demand is learned from the change between successive ones.
+func (s *Shedder) Observe(now time.Time, engine *plan.Engine, groups []Group) {
+	if !usableEngine(engine) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.observe(now, s.terms(engine), groups)
+}
+
+func (s *Shedder) observe(now time.Time, terms engineTerms, groups []Group) {
+	if !s.room.observe(now, terms, groups) {
+		return
+	}
+	space := s.room.space(now, terms, groups, s.aim, s.turns.gap(now, maxRank, 0))
+	if space.known {
+		s.room.learn(now, space)
+	}
+}
+
+// Finished records the length of a complete answer, with the hint of its request or zero.
+func (s *Shedder) Finished(_ time.Time, class string, lengthHint, answerTokens int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.work.finished(class, lengthHint, answerTokens)
+}
+
+// Decide admits or refuses a request. The groups are all those with a recent status; if none of them
+// is usable, it admits all requests and leaves them to the caller.
+func (s *Shedder) Decide(now time.Time, engine *plan.Engine, groups []Group, d Demand) Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rank := d.rank()
+	if !usableEngine(engine) {
+		s.turns.add(now, rank, turnTimely, d.Gap)
+		return s.admit(now, d, ReasonUnknown)
+	}
+	terms := s.terms(engine)
+	s.shares.add(now, d.Account, s.work.cost(engine, &d))
+	s.observe(now, terms, groups)
+	space := s.room.space(now, terms, groups, d.Aim, s.turns.gap(now, rank, d.Gap))
+	share := 1.0
+	if space.known {
+		share = s.room.admitted(space)
+	}
+	turn := s.turn(now, engine, space, share, &d)
+	s.turns.add(now, rank, turn, d.Gap)
+	s.aim = d.Aim
+	switch {
+	case !space.known:
+		return s.admit(now, d, ReasonUnknown)
+	case share >= 1:
+		return s.admit(now, d, ReasonRoom)
+	case s.random() < s.turns.admitted(share, rank, turn):
+		return s.admit(now, d, ReasonTurn)
+	}
+	return Decision{
+		Reason:     ReasonFull,
+		RetryAfter: s.retryAfter(space, share, d.Remaining),
+		Urgency:    s.turns.urgency(now, rank, d.late()),
+	}
+}
+
+func (s *Shedder) admit(now time.Time, d Demand, reason string) Decision {
+	return Decision{
+		Admit:   true,
+		Reason:  reason,
+		Urgency: s.turns.urgency(now, d.rank(), d.late()),
+	}
+}
+
+// terms returns the terms of the engine for answers of the length seen so far.
+func (s *Shedder) terms(e *plan.Engine) engineTerms {
+	return newEngineTerms(e, s.work.all.usual(e.Answer))
+}
+
+// turn returns the turn of a request within its rank. Requests beyond the fair share of their account
+// are drawn from all of its requests.
+func (s *Shedder) turn(now time.Time, e *plan.Engine, space space, share float64, d *Demand) turnOf {
+	fair := s.shares.fairShare(now, d.Account, share, e.Answer)
+	switch {
+	case fair < 1 && s.random() >= fair:
+		return turnExcess
+	case d.Returned && d.Remaining > space.life:
+		return turnReturned
+	case d.late() || d.Returned:
+		return turnLate
+	}
+	return turnTimely
+}
+
+// retryAfter returns when room is expected, at the rate at which requests finish: the excess has to
+// finish first, and those refused recently come back spread over the time in which as many finish.
+// It is zero if the caller's remaining time can't hold even the next step.
+func (s *Shedder) retryAfter(space space, share float64, remaining time.Duration) time.Duration {
+	outflow := max(space.outflow, 1)
+	excess := max(space.requests-space.limit, 0) / outflow
+	refused := s.room.demand * (1 - share) * backlogTime.Seconds() / outflow
+	after := space.step + time.Duration((excess+refused*s.random())*float64(time.Second))
+	after = min(after, maxRetryAfter)
+	if last := remaining - queueSteps*space.step; after > last {
+		after = max(last, 0)
+	}
+	return after
+}
