--- a/admit/load.go
+++ b/admit/load.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -16,19 +17,31 @@
 	// steps stay longer after the experts in demand have changed, before a new map is in force.
 	sampleWindow = 1200 * time.Millisecond
 	maxSamples   = 16
+	// minSamples and minSpan are how many statuses within it are needed to change what was learned, and
+	// the time between the first and the last of them.
+	minSamples = 5
+	minSpan    = time.Second
+	// calmingTime is the time constant in which the unevenness goes down; it goes up at once. A group
+	// that is relieved shows less of it, and is not to be filled again by that alone.
+	calmingTime = 2 * time.Second
+	// usualUnevenness is assumed of groups that have not shown less with tellingShare of their slots in
+	// use: uneven ranks cost little at low load. It comes back in forgetTime at lower load.
+	usualUnevenness = 2
+	tellingShare    = 0.7
+	forgetTime      = 10 * time.Second
 	// maxUnevenness bounds what is attributed to unevenness of ranks and experts.
 	maxUnevenness = 4
 	// prefillSpread is how many more prompts the busiest rank reads in a step than the mean rank, as a
 	// multiple of the mean.
 	prefillSpread = 1.5
 	// trendWindow is the time constant in which the change of a group's load is smoothed.
-	trendWindow = 300 * time.Millisecond
+	trendWindow = 200 * time.Millisecond
 	// newStatus is the least difference in time between two statuses of a group.
 	newStatus = 20 * time.Millisecond
 	// forgetLoad is the pause between statuses after which no trend is derived from them.
 	forgetLoad = time.Second
 	// maxTrend bounds the correction for the age of a status, as a share of the group's slots.
-	maxTrend = 0.3
+	maxTrend = 0.5
 )
 
 // Group is the load and condition of one rank group as an entry sees it.
@@ -56,9 +69,11 @@
 type load struct {
 	measuredAt time.Time
 	requests   float64
-	// trend is the change of requests, inflow the estimated number of admitted requests, per second.
-	trend  float64
-	inflow float64
+	// trend is the change of requests, inflow and outflow the estimated numbers of requests that are
+	// admitted and that finish, per second.
+	trend   float64
+	inflow  float64
+	outflow float64
 	// unevenness and step are medians of the samples.
 	unevenness float64
 	step       time.Duration
@@ -74,15 +89,18 @@
 	}
 	requests := float64(g.Running + g.Waiting)
 	l.sample(at, terms, g)
-	outflow := float64(g.Running) / terms.life(l.step).Seconds()
+	l.outflow = 0
+	if g.StepTime > 0 {
+		l.outflow = float64(g.Running) / terms.life(g.StepTime).Seconds()
+	}
 	switch {
 	case l.measuredAt.IsZero() || since > forgetLoad:
 		l.trend = 0
-		l.inflow = outflow
+		l.inflow = l.outflow
 	default:
 		gain := 1 - math.Exp(-since.Seconds()/trendWindow.Seconds())
 		l.trend += gain * ((requests-l.requests)/since.Seconds() - l.trend)
-		l.inflow = max(0, l.trend+outflow)
+		l.inflow = max(0, l.trend+l.outflow)
 	}
 	l.measuredAt = at
 	l.requests = requests
@@ -103,29 +121,43 @@
 			step:       g.StepTime,
 		})
 	}
-	if len(l.samples) == 0 {
-		l.unevenness = 1
+	if l.step == 0 {
+		l.unevenness = usualUnevenness
 		l.step = terms.step(1, float64(terms.slots))
+	}
+	if len(l.samples) < minSamples || at.Sub(l.samples[0].at) < minSpan {
 		return
 	}
 	sorted := slices.Clone(l.samples)
-	slices.SortFunc(sorted, func(a, b sample) int { return int(a.step - b.step) })
-	l.step = sorted[(len(sorted)-1)/2].step
-	slices.SortFunc(sorted, func(a, b sample) int {
-		switch {
-		case a.unevenness < b.unevenness:
-			return -1
-		case a.unevenness > b.unevenness:
-			return 1
+	middle := (len(sorted) - 1) / 2
+	slices.SortFunc(sorted, func(a, b sample) int { return cmp.Compare(a.step, b.step) })
+	l.step = sorted[middle].step
+	slices.SortFunc(sorted, func(a, b sample) int { return cmp.Compare(a.unevenness, b.unevenness) })
+	l.learn(sorted[middle].unevenness, terms.slots, g, at.Sub(l.measuredAt))
+}
+
+// learn adapts the unevenness to the one seen during the last status.
+func (l *load) learn(seen float64, slots int, g Group, since time.Duration) {
+	window := calmingTime
+	telling := float64(g.Running) >= tellingShare*float64(slots*g.Ranks)
+	if !telling && seen < usualUnevenness {
+		seen = usualUnevenness
+		if l.unevenness < usualUnevenness {
+			window = forgetTime
 		}
-		return 0
-	})
-	l.unevenness = sorted[(len(sorted)-1)/2].unevenness
+	}
+	if seen > l.unevenness && window == calmingTime {
+		l.unevenness = seen
+		return
+	}
+	l.unevenness += (1 - math.Exp(-since.Seconds()/window.Seconds())) * (seen - l.unevenness)
 }
 
-// expected returns how many requests the group has now, from its last status and the trend.
-func (l *load) expected(now time.Time, limit float64) float64 {
-	change := l.trend * min(now.Sub(l.measuredAt), forgetLoad).Seconds()
+// expected returns how many requests the group has now: those of its last status and the change since,
+// the larger one of the trend and of what all entries are thought to have admitted meanwhile.
+func (l *load) expected(now time.Time, admitted, limit float64) float64 {
+	since := min(now.Sub(l.measuredAt), forgetLoad).Seconds()
+	change := max(l.trend, admitted-l.outflow) * since
 	return max(0, l.requests+min(max(change, -maxTrend*limit), maxTrend*limit))
 }
 
--- a/admit/room.go
+++ b/admit/room.go
@@ -4,20 +4,24 @@
 	"math"
 	"time"
 
+	"github.com/samber/lo"
+
 	"geraniumpass/plan"
 )
 
 const (
 	// fillShare is the share of the room that is aimed at while more is wanted.
-	fillShare = 0.98
+	fillShare = 0.95
 	// correctionTime is the time in which a difference from the room is made up for. It is longer than
 	// the delay of the statuses, which all entries act on together.
 	correctionTime = 400 * time.Millisecond
-	// demandWindow is the time constant in which the admitted share and the demand are smoothed.
-	demandWindow = 300 * time.Millisecond
+	// demandWindow is the time constant in which the demand is smoothed: some steps, in which requests
+	// finish in groups. shareWindow is about the age of the statuses.
+	demandWindow = 500 * time.Millisecond
+	shareWindow  = 150 * time.Millisecond
 	// minKnownShare is the admitted share below which the demand can't be derived from the inflow.
 	minKnownShare = 0.1
-	// calmShare is the share of the permitted pause below which steps are calm.
+	// calmShare is the share of the permitted pause and of the room below which a group is calm.
 	calmShare = 0.7
 	// queueSteps is how many steps before its target a queued request should begin.
 	queueSteps = 2
@@ -29,10 +33,12 @@
 // requests that is admitted. All entries derive the same share from the same statuses.
 type room struct {
 	loads map[string]*load
-	// share is the admitted share, demand the requests per second that all entries are asked for.
-	share     float64
-	demand    float64
-	updatedAt time.Time
+	// share is the recent share of requests that was admitted. The inflow of all entries and
+	// inflowShare, over the same longer time, tell the demand.
+	share       float64
+	inflow      float64
+	inflowShare float64
+	updatedAt   time.Time
 }
 
 // space is the room of the usable groups for one pair of targets.
@@ -82,6 +88,7 @@
 	s := space{
 		calm: true,
 	}
+	usable := float64(lo.CountBy(groups, func(g Group) bool { return g.Usable }))
 	for i := range groups {
 		g := &groups[i]
 		if !g.Usable {
@@ -97,8 +104,8 @@
 		s.known = true
 		limit := groupLimit(terms, g, l, aim, gap)
 		s.limit += limit
-		s.requests += l.expected(now, limit)
-		s.outflow += float64(g.Running) / terms.life(l.step).Seconds()
+		s.requests += l.expected(now, r.demand()*r.share/usable, limit)
+		s.outflow += l.outflow
 		s.inflow += l.inflow
 		s.step = max(s.step, l.step)
 		if g.Waiting > 0 || gap > 0 && float64(g.StepTime) > calmShare*float64(gap) {
@@ -106,7 +113,7 @@
 		}
 	}
 	s.life = terms.life(s.step)
-	s.calm = s.calm && s.requests < s.limit
+	s.calm = s.calm && s.requests < calmShare*s.limit
 	return s
 }
 
@@ -132,25 +139,33 @@
 		return 1
 	case wanted <= 0:
 		return 0
-	case r.demand <= wanted:
+	case r.demand() <= wanted:
 		return 1
 	}
-	return wanted / r.demand
+	return wanted / r.demand()
+}
+
+// demand returns how many requests per second all entries are asked for. Each of them admits the same
+// share, so that it follows from the inflow.
+func (r *room) demand() float64 {
+	return r.inflow / max(r.inflowShare, minKnownShare)
 }
 
-// learn updates the demand after new statuses. The inflow is what all entries have admitted, each of
-// them by the same share, so that it tells how much was asked for.
+// learn updates what is known of the demand after new statuses.
 func (r *room) learn(now time.Time, s space) {
 	since := now.Sub(r.updatedAt)
 	r.updatedAt = now
 	if since > forgetLoad {
 		r.share = 1
-		r.demand = s.inflow
+		r.inflowShare = 1
+		r.inflow = s.inflow
 	}
-	gain := 1 - math.Exp(-since.Seconds()/demandWindow.Seconds())
 	if r.share > minKnownShare {
-		r.demand += gain * (s.inflow/r.share - r.demand)
+		gain := 1 - math.Exp(-since.Seconds()/demandWindow.Seconds())
+		r.inflow += gain * (s.inflow - r.inflow)
+		r.inflowShare += gain * (r.share - r.inflowShare)
 	}
+	gain := 1 - math.Exp(-since.Seconds()/shareWindow.Seconds())
 	r.share += gain * (r.admitted(s) - r.share)
 }
 
--- a/admit/shed.go
+++ b/admit/shed.go
@@ -33,8 +33,9 @@
 	return &Shedder{
 		random: random,
 		room: room{
-			loads: make(map[string]*load),
-			share: 1,
+			loads:       make(map[string]*load),
+			share:       1,
+			inflowShare: 1,
 		},
 		shares: newShares(),
 		work: work{
@@ -141,7 +142,7 @@
 func (s *Shedder) retryAfter(space space, share float64, remaining time.Duration) time.Duration {
 	outflow := max(space.outflow, 1)
 	excess := max(space.requests-space.limit, 0) / outflow
-	refused := s.room.demand * (1 - share) * backlogTime.Seconds() / outflow
+	refused := s.room.demand() * (1 - share) * backlogTime.Seconds() / outflow
 	after := space.step + time.Duration((excess+refused*s.random())*float64(time.Second))
 	after = min(after, maxRetryAfter)
 	if last := remaining - queueSteps*space.step; after > last {
