--- a/admit/room.go
+++ b/admit/room.go
@@ -11,7 +11,7 @@
 
 const (
 	// fillShare is the share of the room that is aimed at while more is wanted.
-	fillShare = 0.95
+	fillShare = 0.93
 	// correctionTime is the time in which a difference from the room is made up for. It is longer than
 	// the delay of the statuses, which all entries act on together.
 	correctionTime = 400 * time.Millisecond
@@ -21,8 +21,8 @@
 	shareWindow  = 150 * time.Millisecond
 	// minKnownShare is the admitted share below which the demand can't be derived from the inflow.
 	minKnownShare = 0.1
-	// calmShare is the share of the permitted pause and of the room below which a group is calm.
-	calmShare = 0.7
+	// freeShare is the share of the room below which nothing is refused, whatever the trend.
+	freeShare = 0.82
 	// queueSteps is how many steps before its target a queued request should begin.
 	queueSteps = 2
 	// maxGroups bounds the number of groups that are remembered.
@@ -45,7 +45,6 @@
 type space struct {
 	// known is false if no group is usable or one of them has told nothing of its ranks.
 	known bool
-	calm  bool
 	// limit is how many requests the groups can hold, requests how many they are expected to hold.
 	limit    float64
 	requests float64
@@ -85,9 +84,7 @@
 
 // space returns the room for requests with the given targets.
 func (r *room) space(now time.Time, terms engineTerms, groups []Group, aim, gap time.Duration) space {
-	s := space{
-		calm: true,
-	}
+	s := space{}
 	usable := float64(lo.CountBy(groups, func(g Group) bool { return g.Usable }))
 	for i := range groups {
 		g := &groups[i]
@@ -108,12 +105,8 @@
 		s.outflow += l.outflow
 		s.inflow += l.inflow
 		s.step = max(s.step, l.step)
-		if g.Waiting > 0 || gap > 0 && float64(g.StepTime) > calmShare*float64(gap) {
-			s.calm = false
-		}
 	}
 	s.life = terms.life(s.step)
-	s.calm = s.calm && s.requests < calmShare*s.limit
 	return s
 }
 
@@ -135,7 +128,7 @@
 func (r *room) admitted(s space) float64 {
 	wanted := s.outflow + (fillShare*s.limit-s.requests)/correctionTime.Seconds()
 	switch {
-	case s.calm:
+	case s.requests < freeShare*s.limit:
 		return 1
 	case wanted <= 0:
 		return 0
