Count an account with no more than the mean as within its fair share

Where all accounts ask for the same, none is to blame for a shortage; all of them had a part of their requests counted as excess, which put late ones before timely ones.

--- a/admit/fair.go
+++ b/admit/fair.go
@@ -121,12 +121,13 @@
 }
 
 // fairShare returns the share of an account's work that is within its fair share when the given
-// share of all work is admitted.
+// share of all work is admitted. An account with no more than the mean is always within it: where all
+// ask for the same, none of them is to blame.
 func (s *shares) fairShare(now time.Time, account string, share, usual float64) float64 {
 	weight, ok := s.byAccount[account]
 	if !ok || weight <= 0 || share >= 1 {
 		return 1
 	}
-	least := minFairWork * usual * s.scale(now)
+	least := max(minFairWork*usual*s.scale(now), s.total/float64(len(s.byAccount)))
 	return min(max(s.fairWeight(share), least)/weight, 1)
 }
--- a/admit/load.go
+++ b/admit/load.go
@@ -1,7 +1,6 @@
 package admit
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -62,7 +61,6 @@
 type sample struct {
 	at         time.Time
 	unevenness float64
-	step       time.Duration
 }
 
 // load is what an entry has learned of one group from its statuses.
@@ -74,7 +72,7 @@
 	trend   float64
 	inflow  float64
 	outflow float64
-	// unevenness and step are medians of the samples.
+	// unevenness is learned from the median of the samples, step is the last one.
 	unevenness float64
 	step       time.Duration
 	samples    []sample
@@ -108,32 +106,34 @@
 }
 
 func (l *load) sample(at time.Time, terms engineTerms, g Group) {
-	l.samples = slices.DeleteFunc(l.samples, func(s sample) bool {
-		return at.Sub(s.at) > sampleWindow
-	})
-	if g.Running > 0 && g.StepTime > 0 && g.Ranks > 0 {
-		if len(l.samples) == maxSamples {
-			l.samples = slices.Delete(l.samples, 0, 1)
-		}
-		l.samples = append(l.samples, sample{
-			at:         at,
-			unevenness: terms.unevenness(g.StepTime, float64(g.Running)/float64(g.Ranks)),
-			step:       g.StepTime,
-		})
+	for len(l.samples) > 0 && at.Sub(l.samples[0].at) > sampleWindow {
+		l.samples = slices.Delete(l.samples, 0, 1)
 	}
 	if l.step == 0 {
 		l.unevenness = usualUnevenness
 		l.step = terms.step(1, float64(terms.slots))
 	}
+	if g.Running <= 0 || g.StepTime <= 0 || g.Ranks <= 0 {
+		return
+	}
+	l.step = g.StepTime
+	if len(l.samples) == maxSamples {
+		l.samples = slices.Delete(l.samples, 0, 1)
+	}
+	l.samples = append(l.samples, sample{
+		at:         at,
+		unevenness: terms.unevenness(g.StepTime, float64(g.Running)/float64(g.Ranks)),
+	})
 	if len(l.samples) < minSamples || at.Sub(l.samples[0].at) < minSpan {
 		return
 	}
-	sorted := slices.Clone(l.samples)
-	middle := (len(sorted) - 1) / 2
-	slices.SortFunc(sorted, func(a, b sample) int { return cmp.Compare(a.step, b.step) })
-	l.step = sorted[middle].step
-	slices.SortFunc(sorted, func(a, b sample) int { return cmp.Compare(a.unevenness, b.unevenness) })
-	l.learn(sorted[middle].unevenness, terms.slots, g, at.Sub(l.measuredAt))
+	var values [maxSamples]float64
+	sorted := values[:len(l.samples)]
+	for i, s := range l.samples {
+		sorted[i] = s.unevenness
+	}
+	slices.Sort(sorted)
+	l.learn(sorted[(len(sorted)-1)/2], terms.slots, g, at.Sub(l.measuredAt))
 }
 
 // learn adapts the unevenness to the one seen during the last status.
