--- a/admit/fair.go
+++ b/admit/fair.go
@@ -13,6 +13,8 @@
 	maxAccounts = 4096
 	// maxHalfLives is how many half-lives weights grow before they are scaled down.
 	maxHalfLives = 32
+	// fairAge is how long a fair share is used, much less than accountHalfLife.
+	fairAge = 100 * time.Millisecond
 	// bucketsPerOctave and octaves define the histogram of weights: with them, a fair share is found
 	// without a pass over all accounts. Weights below the first bucket are in it.
 	bucketsPerOctave = 4
@@ -35,6 +37,9 @@
 	total     float64
 	counts    [buckets]int
 	sums      [buckets]float64
+	// fair is the fair weight at fairAt.
+	fair   float64
+	fairAt time.Time
 }
 
 func newShares() *shares {
@@ -73,6 +78,7 @@
 func (s *shares) rescale(now time.Time) {
 	scale := s.scale(now)
 	s.epoch = now
+	s.fairAt = time.Time{}
 	s.total = 0
 	s.counts = [buckets]int{}
 	s.sums = [buckets]float64{}
@@ -128,6 +134,10 @@
 	if !ok || weight <= 0 || share >= 1 {
 		return 1
 	}
+	if since := now.Sub(s.fairAt); since < 0 || since > fairAge {
+		s.fair = s.fairWeight(share)
+		s.fairAt = now
+	}
 	least := max(minFairWork*usual*s.scale(now), s.total/float64(len(s.byAccount)))
-	return min(max(s.fairWeight(share), least)/weight, 1)
+	return min(max(s.fair, least)/weight, 1)
 }
--- a/admit/load.go
+++ b/admit/load.go
@@ -155,9 +155,8 @@
 
 // expected returns how many requests the group has now: those of its last status and the change since,
 // the larger one of the trend and of what all entries are thought to have admitted meanwhile.
-func (l *load) expected(now time.Time, admitted, limit float64) float64 {
-	since := min(now.Sub(l.measuredAt), forgetLoad).Seconds()
-	change := max(l.trend, admitted-l.outflow) * since
+func (l *load) expected(age time.Duration, admitted, limit float64) float64 {
+	change := max(l.trend, admitted-l.outflow) * min(age, forgetLoad).Seconds()
 	return max(0, l.requests+min(max(change, -maxTrend*limit), maxTrend*limit))
 }
 
--- a/admit/room.go
+++ b/admit/room.go
@@ -33,6 +33,8 @@
 // requests that is admitted. All entries derive the same share from the same statuses.
 type room struct {
 	loads map[string]*load
+	// current are the loads of the groups last observed, in their order.
+	current []*load
 	// share is the recent share of requests that was admitted. The inflow of all entries and
 	// inflowShare, over the same longer time, tell the demand.
 	share       float64
@@ -59,6 +61,7 @@
 // observe records the statuses of the groups and reports whether one of them is new.
 func (r *room) observe(now time.Time, terms engineTerms, groups []Group) bool {
 	changed := false
+	r.current = r.current[:0]
 	for i := range groups {
 		g := &groups[i]
 		l := r.loads[g.Name]
@@ -69,6 +72,7 @@
 			l = &load{}
 			r.loads[g.Name] = l
 		}
+		r.current = append(r.current, l)
 		changed = l.update(now, terms, *g) || changed
 	}
 	return changed
@@ -82,10 +86,11 @@
 	}
 }
 
-// space returns the room for requests with the given targets.
-func (r *room) space(now time.Time, terms engineTerms, groups []Group, aim, gap time.Duration) space {
+// space returns the room for requests with the given targets in the groups last observed.
+func (r *room) space(terms engineTerms, groups []Group, aim, gap time.Duration) space {
 	s := space{}
-	usable := float64(lo.CountBy(groups, func(g Group) bool { return g.Usable }))
+	usable := lo.CountBy(groups, func(g Group) bool { return g.Usable })
+	admitted := r.demand() * r.share / float64(max(usable, 1))
 	for i := range groups {
 		g := &groups[i]
 		if !g.Usable {
@@ -94,14 +99,11 @@
 		if g.Ranks <= 0 {
 			return space{}
 		}
-		l := r.loads[g.Name]
-		if l == nil {
-			return space{}
-		}
+		l := r.current[i]
 		s.known = true
 		limit := groupLimit(terms, g, l, aim, gap)
 		s.limit += limit
-		s.requests += l.expected(now, r.demand()*r.share/usable, limit)
+		s.requests += l.expected(g.Age, admitted, limit)
 		s.outflow += l.outflow
 		s.inflow += l.inflow
 		s.step = max(s.step, l.step)
--- a/admit/shed.go
+++ b/admit/shed.go
@@ -59,7 +59,7 @@
 	if !s.room.observe(now, terms, groups) {
 		return
 	}
-	space := s.room.space(now, terms, groups, s.aim, s.turns.gap(now, maxRank, 0))
+	space := s.room.space(terms, groups, s.aim, s.turns.gap(now, maxRank, 0))
 	if space.known {
 		s.room.learn(now, space)
 	}
@@ -85,7 +85,7 @@
 	terms := s.terms(engine)
 	s.shares.add(now, d.Account, s.work.cost(engine, &d))
 	s.observe(now, terms, groups)
-	space := s.room.space(now, terms, groups, d.Aim, s.turns.gap(now, rank, d.Gap))
+	space := s.room.space(terms, groups, d.Aim, s.turns.gap(now, rank, d.Gap))
 	share := 1.0
 	if space.known {
 		share = s.room.admitted(space)
--- a/admit/shed_sim_test.go
+++ b/admit/shed_sim_test.go
@@ -127,8 +127,10 @@
 		for i, g := range f.groups {
 			statuses[i] = g.status(string(rune('a' + i)))
 		}
-		for _, s := range f.entries {
-			s.Observe(f.now, f.engine, statuses)
+		if f.ticks%10 == 0 {
+			for _, s := range f.entries {
+				s.Observe(f.now, f.engine, statuses)
+			}
 		}
 		for n := f.arrivals(perSecond); n > 0; n-- {
 			f.request(statuses, false)
--- a/admit/shed_test.go
+++ b/admit/shed_test.go
@@ -88,7 +88,7 @@
 // Load: 300 requests a second, which 64 ranks serve in time, and a group that stalls for four seconds
 // while entries keep sending to it. Its steps last 142 ms with ten on each rank, where callers accept
 // 120: with the part off they still do long after the stall; with it on, they are within the pause
-// two seconds after its end and nothing is refused from then on.
+// two seconds after its end, as they are from then on.
 func TestOverloadEndsWithItsCause(t *testing.T) {
 	step := func(n float64) float64 { return 21.7 + 1.2*n*n }
 	for _, entries := range []int{9, 99} {
