--- a/admit/load.go
+++ b/admit/load.go
@@ -25,7 +25,7 @@
 	calmingTime = 2 * time.Second
 	// usualUnevenness is assumed of groups that have not shown less with tellingShare of their slots in
 	// use: uneven ranks cost little at low load. It comes back in forgetTime at lower load.
-	usualUnevenness = 2
+	usualUnevenness = 1.9
 	tellingShare    = 0.7
 	forgetTime      = 10 * time.Second
 	// maxUnevenness bounds what is attributed to unevenness of ranks and experts.
