Refuse streams that the groups have no room for, and tell engines ranks

Callers of both customers had all their streams late whenever more ran than the steps of a group can carry within the pause that they accept, and none was refused. Not measured yet.

--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -239,7 +239,7 @@
 		Instance:  a.instance.ID,
 		Remaining: r.deadline.Sub(r.g.clock.Now()),
 		Account:   r.account,
-		Late:      r.isLate(),
+		Urgency:   r.currentUrgency(),
 		LastEvent: r.stream.lastEvent,
 	})
 	if len(r.body) > 0 || r.req.Method != http.MethodGet && r.req.Method != http.MethodHead {
--- a/gate/call.go
+++ b/gate/call.go
@@ -15,4 +15,6 @@
 	// unknown.
 	PromptTokens    int
 	MaxAnswerTokens int
+	// LengthHint is the caller's estimate of the tokens to generate, zero if unknown.
+	LengthHint int
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -68,6 +68,7 @@
 	cooldowns        *cooldowns
 	leavingInstances *leave.Registry
 	groups           *loads.Board
+	shedders         *shedders
 	departures       *departures
 	retryBudget      *retry.WindowBudget
 	meter            *meter.Meter
@@ -105,7 +106,7 @@
 	if groups == nil {
 		groups = loads.NewBoard(clock)
 	}
-	return &Gate{
+	g := &Gate{
 		opts:    opts,
 		clock:   clock,
 		log:     log,
@@ -133,6 +134,8 @@
 		random:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		pickRandom:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	g.shedders = newShedders(g.randomFloat)
+	return g
 }
 
 // Drain makes every further answer close its caller's connection.
--- a/gate/lateness.go
+++ b/gate/lateness.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"geraniumpass/admit"
 	"geraniumpass/plan"
 )
 
@@ -50,6 +51,20 @@
 	return largest.budget - budget
 }
 
+// lateUrgency is the priority of a request that has become late since it was admitted.
+const lateUrgency = 8
+
+// currentUrgency returns the priority of the request at the engine.
+func (r *request) currentUrgency() int {
+	switch {
+	case r.isLate():
+		return max(r.urgency, lateUrgency)
+	case r.urgency > 0:
+		return r.urgency
+	}
+	return admit.DefaultUrgency
+}
+
 // isLate reports whether the answer can't begin within the target latency any more, because the
 // caller was rejected or cut off before.
 func (r *request) isLate() bool {
--- a/gate/relocate.go
+++ b/gate/relocate.go
@@ -52,6 +52,7 @@
 func (g *Gate) RunRelocation(ctx context.Context) {
 	for ctx.Err() == nil {
 		changed := g.groups.Changed()
+		g.observeRoom()
 		g.Relocate()
 		retry.Sleep(ctx, relocationInterval)
 		select {
--- a/gate/request.go
+++ b/gate/request.go
@@ -23,7 +23,9 @@
 	snap    *view.Snapshot
 	route   *plan.Route
 	account string
-	service *plan.Service
+	// accountRank is the priority of the client account, nil if it has none of its own.
+	accountRank *int
+	service     *plan.Service
 
 	receivedAt time.Time
 	// firstByteAt is when the first byte of an upstream's answer arrived, zero before.
@@ -36,6 +38,8 @@
 	// its own. The caller disconnects soon after.
 	firstEventDeadline time.Time
 
+	// urgency is the priority for the engine as of the admission, zero if it was not decided.
+	urgency int
 	// sends counts the attempts of which at least a byte was sent; tried holds the instances of all
 	// attempts, including failed dials.
 	sends int
--- a/gate/sending.go
+++ b/gate/sending.go
@@ -9,9 +9,9 @@
 	Remaining time.Duration
 	// Account is the client account's name, empty if none.
 	Account string
-	// Late reports whether the answer can't begin in time any more, so that other requests take
-	// precedence.
-	Late bool
+	// Urgency is the priority at the engine from 0, the first, to 9; admit.DefaultUrgency is what
+	// engines assume.
+	Urgency int
 	// LastEvent is the number of the last event delivered, negative if none.
 	LastEvent int64
 }
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -98,6 +98,9 @@
 		return status
 	}
 	r.stream.lastEvent = call.LastEvent
+	if status := r.checkRoom(); status != 0 {
+		return status
+	}
 	if r.route.Kind == plan.KindStream && r.route.Patience > firstEventMargin {
 		r.firstEventDeadline = r.g.clock.Now().Add(r.route.Patience - firstEventMargin)
 	}
@@ -112,7 +115,7 @@
 		return r.fail(http.StatusNotFound, "no_route")
 	}
 	if a := r.snap.Table.Account(r.call.Key); a != nil {
-		r.account = a.Name
+		r.account, r.accountRank = a.Name, a.Rank
 	} else if r.snap.Table.RequiresKey() && !r.route.Anonymous {
 		return r.fail(http.StatusUnauthorized, "no_account")
 	}
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -141,6 +141,7 @@
 	if !r.deliver(resp, remaining) {
 		return verdictCallerGone, 0
 	}
+	r.recordLength()
 	a.reuseConn = framed && a.isConnReusable(resp)
 	return verdictDone, resp.StatusCode
 }
