--- a/admit/load.go
+++ b/admit/load.go
@@ -18,7 +18,7 @@
 	maxSamples   = 16
 	// minSamples and minSpan are how many statuses within it are needed to change what was learned, and
 	// the time between the first and the last of them.
-	minSamples = 5
+	minSamples = 8
 	minSpan    = time.Second
 	// calmingTime is the time constant in which the unevenness goes down; it goes up at once. A group
 	// that is relieved shows less of it, and is not to be filled again by that alone.
--- a/admit/shed.go
+++ b/admit/shed.go
@@ -44,8 +44,8 @@
 	}
 }
 
-// Observe records statuses of all groups. Entries with few requests call it with each new status,
-// since the demand is learned from the change between successive ones.
+// Observe records statuses of all groups. It is called with each new status of any group, since the
+// unevenness and the demand are learned from successive ones; requests alone are too few for that.
 func (s *Shedder) Observe(now time.Time, engine *plan.Engine, groups []Group) {
 	if !usableEngine(engine) {
 		return
