--- a/feed/next.go
+++ b/feed/next.go
@@ -21,6 +21,9 @@
 // next returns the agent to dial next. ok is false if none is to be dialed now. Groups that nothing is
 // heard of come first, then those with a single feed, then agents whose group is unknown.
 func (s *selection) next(now time.Time) (a agent, ok bool) {
+	if s.limiter.TokensAt(now) < 1 {
+		return agent{}, false
+	}
 	c := s.choose(now)
 	if c == nil || !s.limiter.AllowN(now, 1) {
 		return agent{}, false
