--- a/feed/candidate.go
+++ b/feed/candidate.go
@@ -27,8 +27,8 @@
 	reported string
 	// probeAt is when the agent may be dialed although its group is unknown.
 	probeAt time.Time
-	// liveSince is when the first message of the present subscription arrived.
-	liveSince time.Time
+	// order is the position of the present subscription among all, by its first message.
+	order int
 	// failedAt is when the last of the failures in a row was.
 	failedAt time.Time
 	failures int
--- a/feed/selection.go
+++ b/feed/selection.go
@@ -41,6 +41,8 @@
 	groupOf map[core.Start]string
 	// returnAt is when an agent of another failure domain may next be replaced, by group.
 	returnAt map[string]time.Time
+	// begun is the number of subscriptions that began.
+	begun int
 }
 
 func newSelection(domain string, random *rand.Rand) *selection {
@@ -127,7 +129,7 @@
 }
 
 // heard records a status that an agent sent and reports whether it is the first of its subscription.
-func (s *selection) heard(address string, g *loads.Group, now time.Time) bool {
+func (s *selection) heard(address string, g *loads.Group) bool {
 	c := s.byAddress[address]
 	if c == nil || c.state == stateIdle {
 		return false
@@ -142,7 +144,8 @@
 		return false
 	}
 	c.state = stateLive
-	c.liveSince = now
+	s.begun++
+	c.order = s.begun
 	c.failures = 0
 	return true
 }
@@ -191,5 +194,5 @@
 		}
 		return 1
 	}
-	return a.liveSince.Compare(b.liveSince)
+	return cmp.Compare(a.order, b.order)
 }
--- a/feed/session.go
+++ b/feed/session.go
@@ -107,7 +107,7 @@
 	if s.hearing.heard(e.group.Name, now) {
 		s.Log.Info("group is heard of again", "group", e.group.Name)
 	}
-	first := s.selection.heard(e.from.agent.address, e.group, now)
+	first := s.selection.heard(e.from.agent.address, e.group)
 	if e.from.group == e.group.Name && !first {
 		return
 	}
