Look up the groups of all instances of a request at once

Each pick and each decision on room took the lock of the board once for each instance, and each pick built a map of all ranks. The board knows the rank of each incarnation, so that one call finds all of them under one lock.

--- a/gate/groups.go
+++ b/gate/groups.go
@@ -4,6 +4,8 @@
 	"expvar"
 	"time"
 
+	"github.com/samber/lo"
+
 	"geraniumpass/core"
 	"geraniumpass/loads"
 	"geraniumpass/plan"
@@ -43,35 +45,48 @@
 // conditions returns the condition of each incarnation for requests of a route.
 func (g *Gate) conditions(starts []core.Start, route *plan.Route, now time.Time) []condition {
 	out := make([]condition, len(starts))
-	groups := g.groups.Recent()
-	if len(groups) == 0 {
+	known := g.groups.Membership(starts)
+	if len(known.Groups) == 0 {
 		groupPicks.Add("unknown", 1)
 		return out
 	}
 	groupPicks.Add("known", 1)
-	ranks := make(map[core.Start]loads.Rank)
-	for _, s := range groups {
-		for _, r := range s.Ranks {
-			ranks[r.Start] = r
-		}
-	}
-	for i, start := range starts {
-		s, ok := groups[g.groups.GroupOf(start)]
-		if !ok {
+	ofGroups := lo.Map(known.Groups, func(s loads.Status, _ int) condition { return groupCondition(&s, route.Gap) })
+	for i, m := range known.Members {
+		if m.Group < 0 {
 			continue
 		}
-		c := &out[i]
-		c.known, c.open, c.usable = true, s.Open, s.IsUsable(route.Gap)
-		c.idle = s.Running()+s.Waiting() == 0
-		r, ok := ranks[start]
-		if age := s.Age + s.RanksAge; ok && age < maxLoadAge {
-			c.hasLoad, c.load, c.loadAt = true, float64(r.Running+r.Waiting), now.Add(-age)
-			c.pace = r.Pace
+		out[i] = ofGroups[m.Group]
+		if m.Rank >= 0 {
+			out[i].setLoad(&known.Groups[m.Group], m.Rank, now)
 		}
 	}
 	return out
 }
 
+// groupCondition returns the condition that all instances of a group have in common.
+func groupCondition(s *loads.Status, gap time.Duration) condition {
+	return condition{
+		known:  true,
+		open:   s.Open,
+		usable: s.IsUsable(gap),
+		idle:   s.Running()+s.Waiting() == 0,
+	}
+}
+
+// setLoad sets the load of a rank if it is recent.
+func (c *condition) setLoad(s *loads.Status, rank int, now time.Time) {
+	age := s.Age + s.RanksAge
+	if age >= maxLoadAge {
+		return
+	}
+	r := &s.Ranks[rank]
+	c.hasLoad = true
+	c.load = float64(r.Running + r.Waiting)
+	c.loadAt = now.Add(-age)
+	c.pace = r.Pace
+}
+
 // areAllClosed reports whether every instance is known to belong to a closed group.
 func areAllClosed(conditions []condition) bool {
 	for i := range conditions {
--- a/gate/pick.go
+++ b/gate/pick.go
@@ -19,7 +19,7 @@
 	r.g.pickMu.Lock()
 	defer r.g.pickMu.Unlock()
 	list := r.candidates(snap, now)
-	starts := lo.Map(list, func(in core.Instance, _ int) core.Start { return in.Start() })
+	starts := startsOf(list)
 	conditions := r.g.conditions(starts, r.route, now)
 	if areAllClosed(conditions) {
 		r.reason, r.closed = reasonClosed, true
@@ -44,7 +44,7 @@
 	answering := r.g.health.isAnswering(r.service.Name, now)
 	avoidUnusable := anyUsable(conditions)
 	isProbe := r.g.pickRandom.Float64() < probeShare
-	starts := lo.Map(list, func(in core.Instance, _ int) core.Start { return in.Start() })
+	starts := startsOf(list)
 	views := make([]route.InstanceView, len(list))
 	for i, e := range r.g.loads.estimates(starts, now) {
 		in := list[i]
--- a/gate/relocate.go
+++ b/gate/relocate.go
@@ -7,6 +7,7 @@
 
 	"github.com/samber/lo"
 
+	"geraniumpass/core"
 	"geraniumpass/loads"
 	"geraniumpass/retry"
 )
@@ -74,7 +75,7 @@
 	for _, d := range due {
 		groups, ok := byService[d.service]
 		if !ok {
-			groups = g.groupsOf(d.service, recent)
+			groups = g.groupsOf(d.service)
 			byService[d.service] = groups
 		}
 		own, ok := recent[g.groups.GroupOf(d.placement.Start)]
@@ -91,16 +92,14 @@
 	}
 }
 
-// groupsOf returns the groups that have a usable instance of the service.
-func (g *Gate) groupsOf(service string, recent map[string]loads.Status) map[string]loads.Status {
-	out := make(map[string]loads.Status)
-	for _, in := range g.view.Now().Usable(service) {
-		name := g.groups.GroupOf(in.Start())
-		if s, ok := recent[name]; ok {
-			out[name] = s
-		}
-	}
-	return out
+// groupsOf returns the groups with a recent status that have a usable instance of the service, by name.
+func (g *Gate) groupsOf(service string) map[string]loads.Status {
+	known := g.groups.Membership(startsOf(g.view.Now().Usable(service)))
+	return lo.KeyBy(known.Groups, func(s loads.Status) string { return s.Name })
+}
+
+func startsOf(list []core.Instance) []core.Start {
+	return lo.Map(list, func(in core.Instance, _ int) core.Start { return in.Start() })
 }
 
 func (g *Gate) randomFloat() float64 {
--- a/gate/room.go
+++ b/gate/room.go
@@ -69,7 +69,7 @@
 		return 0
 	}
 	now := r.g.clock.Now()
-	groups := admissionGroups(r.g.groupsOf(r.service.Name, r.g.groups.Recent()), r.route.Gap)
+	groups := admissionGroups(r.g.groupsOf(r.service.Name), r.route.Gap)
 	d := r.g.shedders.of(r.service.Name).Decide(now, r.service.Engine, groups, r.demand())
 	admissions.Add(d.Reason, 1)
 	r.urgency = d.Urgency
@@ -124,17 +124,13 @@
 	if snap.Table == nil {
 		return
 	}
-	recent := g.groups.Recent()
-	if len(recent) == 0 {
-		return
-	}
 	gaps := g.shedders.gaps(snap.Table)
 	for i := range snap.Table.Services {
 		s := &snap.Table.Services[i]
 		if s.Engine == nil || s.Engine.Sets == 0 {
 			continue
 		}
-		groups := admissionGroups(g.groupsOf(s.Name, recent), gaps[s.Name])
+		groups := admissionGroups(g.groupsOf(s.Name), gaps[s.Name])
 		g.shedders.of(s.Name).Observe(g.clock.Now(), s.Engine, groups)
 	}
 }
--- a/loads/board.go
+++ b/loads/board.go
@@ -27,7 +27,7 @@
 
 	mu      sync.Mutex
 	byName  map[string]*posted
-	groupOf map[core.Start]string
+	placeOf map[core.Start]place
 	// changed is closed and replaced at each update.
 	changed chan struct{}
 }
@@ -37,12 +37,18 @@
 	receivedAt time.Time
 }
 
+// place is the group and the rank of an incarnation as of the last status that named it.
+type place struct {
+	group string
+	rank  int
+}
+
 // NewBoard returns a board without any status.
 func NewBoard(clock clockwork.Clock) *Board {
 	return &Board{
 		clock:   clock,
 		byName:  make(map[string]*posted),
-		groupOf: make(map[core.Start]string),
+		placeOf: make(map[core.Start]place),
 		changed: make(chan struct{}),
 	}
 }
@@ -65,9 +71,12 @@
 		group:      g,
 		receivedAt: now,
 	}
-	for _, r := range g.Ranks {
-		if r.Start.ID != "" {
-			b.groupOf[r.Start] = g.Name
+	for i := range g.Ranks {
+		if start := g.Ranks[i].Start; start.ID != "" {
+			b.placeOf[start] = place{
+				group: g.Name,
+				rank:  i,
+			}
 		}
 	}
 	close(b.changed)
@@ -85,7 +94,7 @@
 func (b *Board) GroupOf(start core.Start) string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.groupOf[start]
+	return b.placeOf[start].group
 }
 
 // Recent returns the status of each group that was received within maxAge, by name. The ranks are
@@ -96,27 +105,36 @@
 	now := b.clock.Now()
 	out := make(map[string]Status, len(b.byName))
 	for name, p := range b.byName {
-		if age := now.Sub(p.receivedAt); age < maxAge {
-			out[name] = Status{
-				Group: p.group,
-				Age:   age,
-			}
+		if s, ok := p.status(now); ok {
+			out[name] = s
 		}
 	}
 	return out
 }
 
+// status returns the status at now. ok is false if it is too old.
+func (p *posted) status(now time.Time) (s Status, ok bool) {
+	age := now.Sub(p.receivedAt)
+	if age >= maxAge {
+		return Status{}, false
+	}
+	return Status{
+		Group: p.group,
+		Age:   age,
+	}, true
+}
+
 // Sweep forgets the incarnations for which keep returns false, and groups without any.
 func (b *Board) Sweep(keep func(start core.Start) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	used := make(map[string]bool)
-	for start, name := range b.groupOf {
+	for start, at := range b.placeOf {
 		if !keep(start) {
-			delete(b.groupOf, start)
+			delete(b.placeOf, start)
 			continue
 		}
-		used[name] = true
+		used[at.group] = true
 	}
 	now := b.clock.Now()
 	for name, p := range b.byName {
