--- a/gate/groups.go
+++ b/gate/groups.go
@@ -99,7 +99,8 @@
 
 // isAvoided reports whether an instance gets requests only if there is none in a usable group.
 func (c *condition) isAvoided(isProbe bool) bool {
-	return c.known && !c.usable && !(isProbe && c.open && c.idle)
+	mayProbe := isProbe && c.open && c.idle
+	return c.known && !c.usable && !mayProbe
 }
 
 // anyUsable reports whether the group of an instance is known to make progress.
