Keep the newest loads of ranks of two feeds

An entry listens to two agents of each group and took the loads of whichever spoke last. An agent that hears its leader late then replaced loads of 50 ms ago by those of 900 ms ago and back at each status, so that callers were sent by old loads and instances changed between known and unknown. A status of the same epoch with older ranks now keeps the newer ones; its condition still counts.

TestNewestRanksAreKept failed before; go test ./loads passed.

--- a/loads/board.go
+++ b/loads/board.go
@@ -54,7 +54,8 @@
 }
 
 // Update replaces the status of a group. A status of an earlier epoch is ignored while a later one is
-// recent. A status without ranks, sent while the group has no leader, keeps those known before.
+// recent. A status without ranks, sent while the group has no leader, keeps those known before, and so
+// does one of the same epoch with older ranks.
 func (b *Board) Update(g Group) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -63,9 +64,13 @@
 	if p != nil && g.Epoch < p.group.Epoch && now.Sub(p.receivedAt) < maxAge {
 		return
 	}
-	if p != nil && len(g.Ranks) == 0 {
-		g.Ranks = p.group.Ranks
-		g.RanksAge = p.group.RanksAge + now.Sub(p.receivedAt)
+	if p != nil {
+		age := p.group.RanksAge + now.Sub(p.receivedAt)
+		isOlder := g.Epoch == p.group.Epoch && len(p.group.Ranks) > 0 && age < g.RanksAge
+		if len(g.Ranks) == 0 || isOlder {
+			g.Ranks = p.group.Ranks
+			g.RanksAge = age
+		}
 	}
 	b.byName[g.Name] = &posted{
 		group:      g,
--- a/loads/board_test.go
+++ b/loads/board_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -55,3 +56,43 @@
 		t.Errorf("got groups %+v", m.Groups)
 	}
 }
+
+// TestNewestRanksAreKept guards against loads that jump back and forth between two agents of a group, one
+// of which hears its leader late: entries would fill ranks by loads that have long changed.
+func TestNewestRanksAreKept(t *testing.T) {
+	const late = 900 * time.Millisecond
+	tests := []struct {
+		name    string
+		epoch   int64
+		age     time.Duration
+		elapsed time.Duration
+		running int
+		wantAge time.Duration
+	}{
+		{name: "older ranks", epoch: 4, age: late, elapsed: 100 * time.Millisecond, running: 9, wantAge: 100 * time.Millisecond},
+		{name: "newer ranks", epoch: 4, age: 50 * time.Millisecond, elapsed: 100 * time.Millisecond, running: 2, wantAge: 50 * time.Millisecond},
+		{name: "ranks of a later epoch", epoch: 5, age: late, elapsed: 100 * time.Millisecond, running: 2, wantAge: late},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			b := NewBoard(clock)
+			first := statusOf("g", "a", 9)
+			first.Epoch = 4
+			b.Update(first)
+			clock.Advance(tt.elapsed)
+			next := statusOf("g", "a", 2)
+			next.Epoch = tt.epoch
+			next.RanksAge = tt.age
+			next.StalledFor = time.Second
+			b.Update(next)
+			got := b.Recent()["g"]
+			if got.Running() != tt.running || got.RanksAge != tt.wantAge {
+				t.Errorf("got %d running as of %v ago, want %d as of %v", got.Running(), got.RanksAge, tt.running, tt.wantAge)
+			}
+			if got.StalledFor != time.Second {
+				t.Errorf("stalled for %v by the newest status", got.StalledFor)
+			}
+		})
+	}
+}
