Bound the times of load messages so that their sums don't overflow

The age of ranks is added to that of the status. With the longest time that a message may hold, the sum became negative and the ranks counted as newer than all others.

TestAgeOfRanksDoesNotOverflow failed before; go test ./loads passed.

--- a/loads/board_test.go
+++ b/loads/board_test.go
@@ -96,3 +96,26 @@
 		})
 	}
 }
+
+// TestAgeOfRanksDoesNotOverflow guards against loads that count as newer than all others because their age
+// is the longest that a message may hold.
+func TestAgeOfRanksDoesNotOverflow(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	b := NewBoard(clock)
+	g := statusOf("g", "a", 1)
+	m := Encode(&g, 1, true)
+	m.RanksAgeMs = maxMilliseconds
+	var d Decoder
+	decoded, err := d.Decode(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Update(decoded)
+	clock.Advance(maxAge / 2)
+	decoded.Ranks = nil
+	b.Update(decoded)
+	clock.Advance(maxAge / 2)
+	if s := b.Recent()["g"]; s.Age+s.RanksAge < s.RanksAge || s.RanksAge < maxAge {
+		t.Errorf("the age of the ranks is %v and that of the status %v", s.RanksAge, s.Age)
+	}
+}
--- a/loads/decode.go
+++ b/loads/decode.go
@@ -8,8 +8,8 @@
 	"geraniumpass/proto"
 )
 
-// maxMilliseconds is the longest time that a message may hold.
-const maxMilliseconds = int64(math.MaxInt64 / time.Millisecond)
+// maxMilliseconds is the longest time that a message may hold. Sums of two such times don't overflow.
+const maxMilliseconds = int64(math.MaxInt64 / time.Millisecond / 4)
 
 // Decoder decodes the messages of one link in their order. It remembers the incarnations of the ranks,
 // which most messages omit. The zero value is ready for a new link.
