Don't refuse callers by the last load of a lost leader

A group without a leader goes on, but its agents tell no loads of ranks, and entries kept the last ones for as long: with a queue from before a stall, or a little more than the room, they refused all callers while the ranks ran nothing. A load older than two seconds, twice the time for which agents pass on that of a leader they don't hear, now counts as the fill that is aimed at at most, so that as many are admitted as have finished before.

--- a/admit/room.go
+++ b/admit/room.go
@@ -25,6 +25,9 @@
 	freeShare = 0.82
 	// queueSteps is how many steps before its target a queued request should begin.
 	queueSteps = 2
+	// maxStatusAge is the age from which a status tells no more what a group holds: twice as long as an
+	// agent sends the last loads of a leader that it doesn't hear any more.
+	maxStatusAge = 2 * time.Second
 	// maxGroups bounds the number of groups that are remembered.
 	maxGroups = 256
 )
@@ -103,7 +106,7 @@
 		s.known = true
 		limit := groupLimit(terms, g, l, aim, gap)
 		s.limit += limit
-		s.requests += l.expected(g.Age, admitted, limit)
+		s.requests += held(g, l, admitted, limit)
 		s.outflow += l.outflow
 		s.inflow += l.inflow
 		s.step = max(s.step, l.step)
@@ -112,6 +115,15 @@
 	return s
 }
 
+// held returns how many requests a group is expected to hold. Without recent loads, as after the loss of
+// its leader, it counts as filled as aimed at most, so that as many are admitted as have finished before.
+func held(g *Group, l *load, admitted, limit float64) float64 {
+	if g.Age > maxStatusAge {
+		return min(l.requests, fillShare*limit)
+	}
+	return l.expected(g.Age, admitted, limit)
+}
+
 // groupLimit returns how many requests a group can hold: as many as it can run with steps in time
 // and, if the slots are what bounds it, those that still begin in time after waiting.
 func groupLimit(terms engineTerms, g *Group, l *load, aim, gap time.Duration) float64 {
