--- a/feed/selection_test.go
+++ b/feed/selection_test.go
@@ -23,11 +23,11 @@
 		most  int
 		links int
 	}{
-		{entries: 9, groups: 1, known: 300 * time.Millisecond, most: dialBurst, links: 5},
-		{entries: 9, groups: 2, known: 500 * time.Millisecond, most: dialBurst, links: 5},
+		{entries: 9, groups: 1, known: 300 * time.Millisecond, most: 12, links: 5},
+		{entries: 9, groups: 2, known: 500 * time.Millisecond, most: 14, links: 5},
 		{entries: 9, groups: 18, known: 2 * time.Second, most: 60, links: 5},
-		{entries: 432, groups: 1, known: 300 * time.Millisecond, most: dialBurst, links: 60},
-		{entries: 432, groups: 2, known: 500 * time.Millisecond, most: dialBurst, links: 60},
+		{entries: 432, groups: 1, known: 300 * time.Millisecond, most: 12, links: 60},
+		{entries: 432, groups: 2, known: 500 * time.Millisecond, most: 14, links: 60},
 		{entries: 432, groups: 18, known: 2 * time.Second, most: 60, links: 60},
 	}
 	for _, tt := range tests {
