Forget what is known of services that the routing table dropped

Each shedder holds the recent work of up to 4,096 accounts, and none was ever forgotten, so that memory grew with each service that a table had named.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -168,6 +168,7 @@
 	g.cold.quotas.Sweep(listed)
 	g.cooldowns.evictExpired(g.clock.Now())
 	g.groups.Sweep(listed)
+	g.shedders.sweep(s.Table)
 }
 
 func (g *Gate) randomIntN(n int) int {
--- a/gate/room.go
+++ b/gate/room.go
@@ -46,6 +46,20 @@
 	return one
 }
 
+// sweep forgets the services that a routing table doesn't name.
+func (s *shedders) sweep(t *plan.Table) {
+	if t == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for service := range s.byService {
+		if t.Service(service) == nil {
+			delete(s.byService, service)
+		}
+	}
+}
+
 // gaps returns the shortest pause that any route to each service allows. The map must not be changed.
 func (s *shedders) gaps(t *plan.Table) map[string]time.Duration {
 	s.mu.Lock()
