Compare the time without a step in one place

New requests avoid a stalled group earlier than running ones leave it, by other constants and the same rule. Nothing is decided otherwise; go test ./loads passed.

--- a/loads/move.go
+++ b/loads/move.go
@@ -44,9 +44,9 @@
 }
 
 // Decide decides whether a request leaves its instance. own is the group that runs it, and groups
-// holds all groups that can run it, by name. All entries know the same load and decide for themselves, so each request leaves
-// with the probability at which those that leave just fit into the room of the others; draw is a
-// random number from 0 to below 1.
+// holds all groups that can run it, by name. All entries know the same load and decide for themselves,
+// so each request leaves with the probability at which those that leave just fit into the room of the
+// others; draw is a random number from 0 to below 1.
 func Decide(own Status, groups map[string]Status, p Placement, draw float64) Move {
 	if !p.Repeatable {
 		return Move{}
@@ -98,7 +98,7 @@
 	if slowLoad(g) > 0 && g.StalledFor < maxSlowStep {
 		return false
 	}
-	return g.StalledFor > max(minStall, time.Duration(stallGaps*float64(p.pause())))
+	return g.standsFor(minStall, stallGaps, p.pause())
 }
 
 // isDelayed reports whether the steps of a group last longer than callers accept. StepTime is a mean
--- a/loads/usable.go
+++ b/loads/usable.go
@@ -14,10 +14,15 @@
 // IsStalled reports whether the group makes no steps although requests are running, measured by the
 // longest pause between two events that callers accept.
 func (s *Status) IsStalled(gap time.Duration) bool {
-	return s.StalledFor > max(minAvoidedStall, time.Duration(avoidedStallGaps*float64(gap)))
+	return s.standsFor(minAvoidedStall, avoidedStallGaps, gap)
 }
 
 // IsUsable reports whether new requests make progress in the group.
 func (s *Status) IsUsable(gap time.Duration) bool {
 	return s.Open && !s.IsStalled(gap)
 }
+
+// standsFor reports whether the group makes no step for longer than least and than gaps pauses.
+func (g *Group) standsFor(least time.Duration, gaps float64, pause time.Duration) bool {
+	return g.StalledFor > max(least, time.Duration(gaps*float64(pause)))
+}
