--- a/admit/urgency.go
+++ b/admit/urgency.go
@@ -5,9 +5,10 @@
 const (
 	// DefaultUrgency is what engines assume if they are told nothing.
 	DefaultUrgency = 5
-	// lateUrgency is that of late requests if all ranks are equal; maxUrgency is the last of all.
-	lateUrgency = 8
-	maxUrgency  = 9
+	// LateUrgency is that of requests that are late if all ranks are equal.
+	LateUrgency = 8
+	// maxUrgency is the last of all.
+	maxUrgency = 9
 	// firstUrgency is that of the highest of several ranks, and lastTimely that of the lowest one.
 	firstUrgency = 2
 	lastTimely   = 6
@@ -22,15 +23,15 @@
 	highest, lowest := t.ranksInUse(now)
 	switch {
 	case highest == lowest && late:
-		return lateUrgency
+		return LateUrgency
 	case highest == lowest:
 		return DefaultUrgency
 	case late && rank == highest:
-		return lateUrgency - 1
+		return LateUrgency - 1
 	case late && rank == lowest:
 		return maxUrgency
 	case late:
-		return lateUrgency
+		return LateUrgency
 	}
 	return min(firstUrgency+urgencyStep*(rank-highest), lastTimely)
 }
--- a/gate/lateness.go
+++ b/gate/lateness.go
@@ -51,14 +51,11 @@
 	return largest.budget - budget
 }
 
-// lateUrgency is the priority of a request that has become late since it was admitted.
-const lateUrgency = 8
-
 // currentUrgency returns the priority of the request at the engine.
 func (r *request) currentUrgency() int {
 	switch {
 	case r.isLate():
-		return max(r.urgency, lateUrgency)
+		return max(r.urgency, admit.LateUrgency)
 	case r.urgency > 0:
 		return r.urgency
 	}
