Keep the order of late requests of several ranks

The admission gives late requests of the highest rank urgency 7, before those of other ranks. Sending them on raised it to 8, so that engines could not tell them from late requests of a lower rank, and the most urgent callers that came back waited among all others. Only requests that became late since their admission get 8 now.

TestUrgencyAtTheEngine failed before for the highest rank; the tests of lateness passed.

--- a/admit/urgency.go
+++ b/admit/urgency.go
@@ -36,6 +36,11 @@
 	return min(firstUrgency+urgencyStep*(rank-highest), lastTimely)
 }
 
+// IsLateUrgency reports whether an urgency is that of a late request of any rank.
+func IsLateUrgency(urgency int) bool {
+	return urgency > lastTimely
+}
+
 // ranksInUse returns the highest and the lowest priority with recent requests.
 func (t *turns) ranksInUse(now time.Time) (int, int) {
 	highest, lowest := maxRank, 0
--- a/gate/lateness.go
+++ b/gate/lateness.go
@@ -51,11 +51,12 @@
 	return largest.budget - budget
 }
 
-// currentUrgency returns the priority of the request at the engine.
+// currentUrgency returns the priority of the request at the engine. One that was late when it was
+// admitted keeps the place among the late ones that it was given.
 func (r *request) currentUrgency() int {
 	switch {
-	case r.isLate():
-		return max(r.urgency, admit.LateUrgency)
+	case r.isLate() && !admit.IsLateUrgency(r.urgency):
+		return admit.LateUrgency
 	case r.urgency > 0:
 		return r.urgency
 	}
