Look up the groups of all requests that may leave at once

Each evaluation took the lock of the board once for each request in flight, and found the groups of services whose instances form none. Nothing is decided otherwise; the tests of relocation passed with -race.

--- a/gate/relocate.go
+++ b/gate/relocate.go
@@ -70,19 +70,19 @@
 	if len(due) == 0 {
 		return
 	}
-	recent := g.groups.Recent()
+	known := g.groups.Membership(lo.Map(due, func(d *departure, _ int) core.Start { return d.placement.Start }))
 	byService := make(map[string]map[string]loads.Status)
-	for _, d := range due {
+	for i, d := range due {
+		own := known.Members[i].Group
+		if own < 0 {
+			continue
+		}
 		groups, ok := byService[d.service]
 		if !ok {
 			groups = g.groupsOf(d.service)
 			byService[d.service] = groups
 		}
-		own, ok := recent[g.groups.GroupOf(d.placement.Start)]
-		if !ok {
-			continue
-		}
-		move := loads.Decide(own, groups, d.placement, g.randomFloat())
+		move := loads.Decide(known.Groups[own], groups, d.placement, g.randomFloat())
 		if move.Reason != "" {
 			d.recordDraw(now)
 		}
