Forget a short pause between events that nobody asks for any more

The room is that of the shortest pause that requests of a rank have allowed recently. Any request of the rank kept that pause alive, so that a single one with a short pause, or one from before a route's pause was raised, bound all others for as long as the rank was in use, and callers were refused although there was room. The pause now has a time of its own.

TestShortPauseCountsOnlyWhileItIsAsked failed before; go test ./admit passed.

--- a/admit/turn.go
+++ b/admit/turn.go
@@ -41,7 +41,9 @@
 	updatedAt time.Time
 	counts    [places]float64
 	usedAt    [maxRank + 1]time.Time
-	gaps      [maxRank + 1]time.Duration
+	// gaps are the shortest pauses that requests have allowed lately, the last of them at gapAt.
+	gaps  [maxRank + 1]time.Duration
+	gapAt [maxRank + 1]time.Time
 }
 
 // add records a request.
@@ -54,8 +56,9 @@
 		t.updatedAt = now
 	}
 	t.counts[place(rank, turn)]++
-	if gap > 0 && (t.gaps[rank] == 0 || gap <= t.gaps[rank] || now.Sub(t.usedAt[rank]) > accountHalfLife) {
+	if gap > 0 && (t.gaps[rank] == 0 || gap <= t.gaps[rank] || now.Sub(t.gapAt[rank]) > accountHalfLife) {
 		t.gaps[rank] = gap
+		t.gapAt[rank] = now
 	}
 	t.usedAt[rank] = now
 }
@@ -64,7 +67,7 @@
 // allowed recently: those of a lower rank must not fill a group beyond it.
 func (t *turns) gap(now time.Time, rank int, gap time.Duration) time.Duration {
 	for i := 0; i <= rank; i++ {
-		if t.gaps[i] > 0 && now.Sub(t.usedAt[i]) < accountHalfLife && (gap <= 0 || t.gaps[i] < gap) {
+		if t.gaps[i] > 0 && now.Sub(t.gapAt[i]) < accountHalfLife && (gap <= 0 || t.gaps[i] < gap) {
 			gap = t.gaps[i]
 		}
 	}
