Bound the authentication of a link by the timeout of its dialing

DialTimeout bounded only the upgrade; a peer that froze after it held the caller for five seconds. An entry counts such an agent as being dialed, so it took no other for the group, and a poller of peers didn't go on to the next, though both dial with 400 ms for that reason.

TestDialTimeoutBoundsTheHandshake failed before after 5.0 s; go test -race ./wire ./peer passed.

--- a/wire/hello.go
+++ b/wire/hello.go
@@ -100,8 +100,8 @@
 
 // handshake authenticates both sides: each sends a nonce, then answers the other's nonce with an
 // HMAC under the link key.
-func handshake(c *websocket.Conn, own Identity, key []byte, local side) (Identity, error) {
-	deadline := time.Now().Add(handshakeTimeout)
+func handshake(c *websocket.Conn, own Identity, key []byte, local side, timeout time.Duration) (Identity, error) {
+	deadline := time.Now().Add(timeout)
 	_ = c.SetReadDeadline(deadline)
 	_ = c.SetWriteDeadline(deadline)
 	nonce := make([]byte, nonceBytes)
--- a/wire/link.go
+++ b/wire/link.go
@@ -62,7 +62,7 @@
 	return DialTimeout(handshakeTimeout, address, own, key)
 }
 
-// DialTimeout is like Dial with a timeout for opening the connection.
+// DialTimeout is like Dial with a timeout for each of opening the connection and authenticating.
 func DialTimeout(timeout time.Duration, address string, own Identity, key []byte) (*Link, error) {
 	d := websocket.Dialer{
 		HandshakeTimeout: timeout,
@@ -76,7 +76,7 @@
 	if resp != nil && resp.Body != nil {
 		_ = resp.Body.Close()
 	}
-	return startLink(c, own, key, sideDialled)
+	return startLink(c, own, key, sideDialled, timeout)
 }
 
 // Accept upgrades a request, authenticates both sides and calls fn with the link, which it closes
@@ -88,7 +88,7 @@
 		CheckOrigin:     func(*fasthttp.RequestCtx) bool { return true },
 	}
 	return errs.Wrap(u.Upgrade(ctx, func(c *websocket.Conn) {
-		l, err := startLink(c, own, key, sideAccepted)
+		l, err := startLink(c, own, key, sideAccepted, handshakeTimeout)
 		if err != nil {
 			return
 		}
@@ -102,9 +102,9 @@
 	}))
 }
 
-func startLink(c *websocket.Conn, own Identity, key []byte, local side) (*Link, error) {
+func startLink(c *websocket.Conn, own Identity, key []byte, local side, timeout time.Duration) (*Link, error) {
 	c.SetReadLimit(maxMessageBytes)
-	peer, err := handshake(c, own, key, local)
+	peer, err := handshake(c, own, key, local, timeout)
 	if err != nil {
 		_ = c.Close()
 		return nil, err
