Look no further for agents once all groups are covered

An entry with all feeds of 18 groups passed over its 576 agents four times, 20 times a second. It now passes once. BenchmarkNext in three interleaved runs on a busy machine: 168 to 332 us before, 118 to 145 us now. What is dialed is the same: the times, dials and links logged by the tests of the selection are as before; go test -race ./feed passed.

--- a/feed/next.go
+++ b/feed/next.go
@@ -14,8 +14,30 @@
 }
 
 // missing returns the number of agents to dial for the group.
-func (c *cover) missing() int {
-	return feedsPerGroup - c.live - c.dialing
+func (v *cover) missing() int {
+	return feedsPerGroup - v.live - v.dialing
+}
+
+// survey is how well all groups are covered.
+type survey struct {
+	// covers is the cover of each known group.
+	covers map[string]*cover
+	// unnamed is the number of agents whose group is unknown, probes that of those being dialed.
+	unnamed int
+	probes  int
+}
+
+// isComplete reports whether no agent is needed, as nearly always.
+func (s *survey) isComplete() bool {
+	if s.unnamed > 0 {
+		return false
+	}
+	for _, v := range s.covers {
+		if v.missing() > 0 || v.foreign > 0 {
+			return false
+		}
+	}
+	return true
 }
 
 // next returns the agent to dial next. ok is false if none is to be dialed now. Groups that nothing is
@@ -36,12 +58,15 @@
 }
 
 func (s *selection) choose(now time.Time) *candidate {
-	covers, probes := s.covers()
-	unheard, single := s.pools(covers, now)
+	known := s.survey()
+	if known.isComplete() {
+		return nil
+	}
+	unheard, single := s.pools(known.covers, now)
 	if c := s.draw(unheard); c != nil {
 		return c
 	}
-	if probes < maxProbes {
+	if known.probes < maxProbes {
 		if c := s.draw(s.unknown(now)); c != nil {
 			return c
 		}
@@ -49,37 +74,44 @@
 	if c := s.draw(single); c != nil {
 		return c
 	}
-	return s.draw(s.returns(covers, now))
+	return s.draw(s.returns(known.covers, now))
 }
 
-// covers returns the cover of each known group and the number of agents of unknown groups that are
-// being dialed.
-func (s *selection) covers() (covers map[string]*cover, probes int) {
-	covers = make(map[string]*cover)
+// survey returns how well each group is covered.
+func (s *selection) survey() survey {
+	out := survey{
+		covers: make(map[string]*cover),
+	}
 	for _, c := range s.candidates {
 		name := s.group(c)
 		if name == "" {
+			out.unnamed++
 			if c.state == stateDialing {
-				probes++
+				out.probes++
 			}
 			continue
 		}
-		v := covers[name]
+		v := out.covers[name]
 		if v == nil {
 			v = &cover{}
-			covers[name] = v
+			out.covers[name] = v
 		}
-		switch c.state {
-		case stateDialing:
-			v.dialing++
-		case stateLive:
-			v.live++
-			if c.domain != s.domain {
-				v.foreign++
-			}
+		v.add(c, s.domain)
+	}
+	return out
+}
+
+// add counts an agent of the group as seen from a failure domain.
+func (v *cover) add(c *candidate, domain string) {
+	switch c.state {
+	case stateDialing:
+		v.dialing++
+	case stateLive:
+		v.live++
+		if c.domain != domain {
+			v.foreign++
 		}
 	}
-	return covers, probes
 }
 
 // pools returns the agents that can be dialed of groups without any live feed, and of groups with too
