Don't report an outage while instances of an open group rest

A pick looks at the instances that aren't blocked. If these were all of closed groups, the caller was told to come back as after an outage, though instances of an open group rested for a moment or were at their limit. The groups of all instances of the service now decide that.

TestCallerIsNotSentAwayForAnOutageWhileAGroupIsOpen failed before; it passed.

--- a/gate/groups_bench_test.go
+++ b/gate/groups_bench_test.go
@@ -15,8 +15,8 @@
 	"geraniumpass/view"
 )
 
-// benchmarkedRequest returns a request for a service of 576 instances in 18 groups with recent loads.
-func benchmarkedRequest() *request {
+// requestAmongGroups returns a request for a service of 576 instances in 18 groups with recent loads.
+func requestAmongGroups() *request {
 	clock, log := clockwork.NewFakeClock(), hclog.NewNullLogger()
 	cache := view.NewCache("front-1", clock, log)
 	g := New(Options{}, clock, log, cache, nil, meter.New(clock))
@@ -66,7 +66,7 @@
 
 // BenchmarkConditions finds the conditions of all instances, as each pick does.
 func BenchmarkConditions(b *testing.B) {
-	r := benchmarkedRequest()
+	r := requestAmongGroups()
 	starts := startsOf(r.snap.Usable("svc"))
 	b.ReportAllocs()
 	b.ResetTimer()
@@ -79,7 +79,7 @@
 
 // BenchmarkPick picks an instance for a request and ends it, so that the loads stay the same.
 func BenchmarkPick(b *testing.B) {
-	r := benchmarkedRequest()
+	r := requestAmongGroups()
 	b.ReportAllocs()
 	b.ResetTimer()
 	for range b.N {
--- a/gate/pick.go
+++ b/gate/pick.go
@@ -22,7 +22,9 @@
 	starts := startsOf(list)
 	conditions := r.g.conditions(starts, r.route, now)
 	if areAllClosed(conditions) {
-		r.reason, r.closed = reasonClosed, true
+		r.reason = reasonClosed
+		// Those that are blocked for a moment may belong to open groups.
+		r.closed = areAllClosed(r.g.conditions(startsOf(snap.Usable(r.service.Name)), r.route, now))
 		return core.Instance{}, false
 	}
 	i := r.choose(r.instanceViews(snap, list, conditions, now), anyUsable(conditions))
