Count callers that left apart from requests lost after a move

Operators read the counter of lost requests as the cost of moving them; callers that left on their own were in it. TestOutcomesOfRelocations failed before for those; it passed.

--- a/gate/leave.go
+++ b/gate/leave.go
@@ -63,6 +63,8 @@
 	case !r.relocated:
 	case status >= http.StatusOK && status < http.StatusMultipleChoices:
 		relocations.Add("completed", 1)
+	case status == statusCallerGone:
+		relocations.Add("caller_gone", 1)
 	default:
 		relocations.Add("lost", 1)
 	}
