--- a/stand/relay.go
+++ b/stand/relay.go
@@ -35,7 +35,12 @@
 
 // NewRelay returns a relay to target that listens on a free loopback port.
 func NewRelay(target string) (*Relay, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	return NewRelayAt("127.0.0.1", target)
+}
+
+// NewRelayAt returns a relay to target that listens on a free port of the given address.
+func NewRelayAt(ip, target string) (*Relay, error) {
+	ln, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return nil, errs.Wrap(err)
 	}
