Let less urgent requests leave room for the longest steps of a group

Requests that others go before are now admitted up to the room at the longest steps of the last seconds, and at least half as often. Where all ranks are equal nothing changes. Test: two ranks while steps take 125 ms for 0.6 s of each 2.4 s; not measured on a site yet.

--- a/admit/load.go
+++ b/admit/load.go
@@ -76,6 +76,8 @@
 	unevenness float64
 	step       time.Duration
 	samples    []sample
+	// longest is what counts for requests that others go before.
+	longest longest
 }
 
 // update records a status and reports whether it is a new one.
@@ -117,6 +119,7 @@
 		return
 	}
 	l.step = g.StepTime
+	l.longest.add(at, terms, g)
 	if len(l.samples) == maxSamples {
 		l.samples = slices.Delete(l.samples, 0, 1)
 	}
--- a/admit/room.go
+++ b/admit/room.go
@@ -89,8 +89,10 @@
 	}
 }
 
-// space returns the room for requests with the given targets in the groups last observed.
-func (r *room) space(terms engineTerms, groups []Group, aim, gap time.Duration) space {
+// space returns the room for requests with the given targets in the groups last observed. The room of
+// requests that others go before is what stays in time also while the steps are longest, so that they
+// don't fill a group beyond what the others need then.
+func (r *room) space(terms engineTerms, groups []Group, aim, gap time.Duration, yields bool) space {
 	s := space{}
 	usable := lo.CountBy(groups, func(g Group) bool { return g.Usable })
 	admitted := r.demand() * r.share / float64(max(usable, 1))
@@ -104,7 +106,11 @@
 		}
 		l := r.current[i]
 		s.known = true
-		limit := groupLimit(terms, g, l, aim, gap)
+		unevenness := l.unevenness
+		if yields {
+			unevenness = max(unevenness, l.longest.unevenness)
+		}
+		limit := groupLimit(terms, g, unevenness, aim, gap)
 		s.limit += limit
 		s.requests += held(g, l, admitted, limit)
 		s.outflow += l.outflow
@@ -126,13 +132,13 @@
 
 // groupLimit returns how many requests a group can hold: as many as it can run with steps in time
 // and, if the slots are what bounds it, those that still begin in time after waiting.
-func groupLimit(terms engineTerms, g *Group, l *load, aim, gap time.Duration) float64 {
-	perRank := terms.runnable(l.unevenness, gap)
+func groupLimit(terms engineTerms, g *Group, unevenness float64, aim, gap time.Duration) float64 {
+	perRank := terms.runnable(unevenness, gap)
 	limit := perRank * float64(g.Ranks)
 	if perRank < float64(terms.slots) {
 		return limit
 	}
-	step := terms.step(l.unevenness, perRank)
+	step := terms.step(unevenness, perRank)
 	wait := max(aim-queueSteps*step, 0)
 	return limit * (1 + min(wait.Seconds()/terms.life(step).Seconds(), maxTrend))
 }
--- a/admit/shed.go
+++ b/admit/shed.go
@@ -59,7 +59,7 @@
 	if !s.room.observe(now, terms, groups) {
 		return
 	}
-	space := s.room.space(terms, groups, s.aim, s.turns.gap(now, maxRank, 0))
+	space := s.room.space(terms, groups, s.aim, s.turns.gap(now, maxRank, 0), false)
 	if space.known {
 		s.room.learn(now, space)
 	}
@@ -85,11 +85,18 @@
 	terms := s.terms(engine)
 	s.shares.add(now, d.Account, s.work.cost(engine, &d))
 	s.observe(now, terms, groups)
-	space := s.room.space(terms, groups, d.Aim, s.turns.gap(now, rank, d.Gap))
+	gap := s.turns.gap(now, rank, d.Gap)
+	space := s.room.space(terms, groups, d.Aim, gap, false)
 	share := 1.0
 	if space.known {
 		share = s.room.admitted(space)
 	}
+	least := 0.0
+	if highest, _ := s.turns.ranksInUse(now); space.known && rank > highest {
+		least = starvationShare * share
+		space = s.room.space(terms, groups, d.Aim, gap, true)
+		share = min(share, s.room.admitted(space))
+	}
 	turn := s.turn(now, engine, space, share, &d)
 	s.turns.add(now, rank, turn, d.Gap)
 	s.aim = d.Aim
@@ -98,7 +105,7 @@
 		return s.admit(now, d, ReasonUnknown)
 	case share >= 1:
 		return s.admit(now, d, ReasonRoom)
-	case s.random() < s.turns.admitted(share, rank, turn):
+	case s.random() < max(s.turns.admitted(share, rank, turn), least):
 		return s.admit(now, d, ReasonTurn)
 	}
 	return Decision{
--- a/admit/turn_test.go
+++ b/admit/turn_test.go
@@ -71,6 +71,52 @@
 	}
 }
 
+// Load: every 2.4 s the steps take 125 ms for 0.6 s, where callers accept 120, because other experts are
+// in demand; between, they take 75 ms. Callers of the most urgent class need each pause in time, so that
+// those of the other one are refused until the steps are short enough; half as often as the whole they
+// are admitted. Where all are equally urgent, nobody is refused: there is nobody to make room for.
+func TestLessUrgentLeaveRoomForLongSteps(t *testing.T) {
+	tests := []struct {
+		name  string
+		ranks []int
+		least []float64
+		most  []float64
+	}{
+		{"two ranks", []int{0, 1}, []float64{0.99, 0.4}, []float64{1, 0.98}},
+		{"one rank", []int{1, 1}, []float64{1, 1}, []float64{1, 1}},
+	}
+	for _, tt := range tests {
+		s := New(rand.New(rand.NewPCG(1, 1)).Float64)
+		now := time.Unix(1_000_000, 0)
+		offered, admitted := make([]float64, 2), make([]float64, 2)
+		for i := range 3000 {
+			now = now.Add(10 * time.Millisecond)
+			step := 75 * time.Millisecond
+			if i%240 < 60 {
+				step = 125 * time.Millisecond
+			}
+			groups := []Group{{Name: "a", Usable: true, Ranks: 32, Running: 220, StepTime: step}}
+			s.Observe(now, testEngine(), groups)
+			for k, rank := range tt.ranks {
+				d := s.Decide(now, testEngine(), groups, demand(rank, "a"))
+				s.room.inflow, s.room.inflowShare = 200, 1
+				if i < 1000 {
+					continue
+				}
+				offered[k]++
+				if d.Admit {
+					admitted[k]++
+				}
+			}
+		}
+		for k := range admitted {
+			if share := admitted[k] / offered[k]; share < tt.least[k] || share > tt.most[k] {
+				t.Errorf("%s: kind %d admitted %.3f, want %.2f to %.2f", tt.name, k, share, tt.least[k], tt.most[k])
+			}
+		}
+	}
+}
+
 // Load: one account of 24 has ten times its traffic and room is short. The other accounts lose less
 // than 0.02, and the large one is refused until it is at its fair share, not below.
 func TestOnlyTheFloodingAccountIsRefused(t *testing.T) {
