--- a/place/vote.go
+++ b/place/vote.go
@@ -41,6 +41,8 @@
 	settled []float64
 	updated time.Time
 	votes   []vote
+	// counts is scratch space for the counts of a report.
+	counts []float64
 }
 
 // observe adds a report and returns the sum of the votes if they show a shift, else nil. The
@@ -48,14 +50,15 @@
 func (v *shiftVote) observe(now time.Time, chosen []byte, unit float64, ranks int, halfLife time.Duration) []float64 {
 	if len(v.settled) != len(chosen) {
 		v.settled = make([]float64, len(chosen))
+		v.counts = make([]float64, len(chosen))
 		v.votes = nil
 		v.updated = now
 	}
 	scale(v.settled, decayFactor(now.Sub(v.updated), halfLife))
 	v.updated = now
-	counts := make([]float64, len(chosen))
-	addCounts(counts, chosen, unit)
-	if totalVariation(v.settled, counts) <= shiftDistance {
+	clear(v.counts)
+	addCounts(v.counts, chosen, unit)
+	if totalVariation(v.settled, v.counts) <= shiftDistance {
 		addCounts(v.settled, chosen, unit)
 		return nil
 	}
