--- a/start/debug.go
+++ b/start/debug.go
@@ -9,11 +9,15 @@
 	"geraniumpass/platform"
 )
 
+// countersPath is where gateways, at their ready address, and sidecars, at their listen address, serve
+// their counters.
+const countersPath = "/debug/vars"
+
 // readyMux serves the readiness endpoint and the debug endpoints.
 func (g *gateway) readyMux(counts *meter.Meter) *http.ServeMux {
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.ReadyPath, g.handleReady)
-	mux.Handle("/debug/vars", expvar.Handler())
+	mux.Handle(countersPath, expvar.Handler())
 	mux.HandleFunc("/debug/classes", g.serveJSON(func() any { return counts.Rows() }))
 	mux.HandleFunc("/debug/ends", g.serveJSON(func() any {
 		known, _ := g.crashes.Since(0)
--- a/start/sidecar.go
+++ b/start/sidecar.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/samber/do/v2"
 	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/expvarhandler"
 	"github.com/zeebo/errs/v2"
 
 	"geraniumpass/group"
@@ -67,11 +68,7 @@
 		SlowPrefix: platform.PacePrefix,
 	}
 	links := &fasthttp.Server{
-		Handler: func(ctx *fasthttp.RequestCtx) {
-			if err := wire.Accept(ctx, member.Own, member.Key, agent.Serve); err != nil {
-				log.Warn("link refused", "error", err)
-			}
-		},
+		Handler: sidecarHandler(member, log),
 	}
 	ln, err := net.Listen("tcp4", cfg.Listen)
 	if err != nil {
@@ -85,6 +82,19 @@
 	return waitForStop(failed, log)
 }
 
+// sidecarHandler accepts links and serves the counters.
+func sidecarHandler(m *group.Member, log hclog.Logger) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) == countersPath {
+			expvarhandler.ExpvarHandler(ctx)
+			return
+		}
+		if err := wire.Accept(ctx, m.Own, m.Key, m.Agent.Serve); err != nil {
+			log.Warn("link refused", "error", err)
+		}
+	}
+}
+
 // waitForStop returns nil on SIGTERM or SIGINT, or the error of a failed server.
 func waitForStop(failed <-chan error, log hclog.Logger) error {
 	signals := make(chan os.Signal, 4)
