--- a/start/rewrite_test.go
+++ b/start/rewrite_test.go
@@ -64,3 +64,48 @@
 		<-done
 	}
 }
+
+// TestMemberRegistersAgainAfterRestoreAtItsStart guards against an entry that is missing from the member list
+// for good, because the store was restored between its first write and the wait for restorations, and a read
+// for another purpose has learned of the new era in between.
+func TestMemberRegistersAgainAfterRestoreAtItsStart(t *testing.T) {
+	const member, address = "gp/member/front-1", "127.0.0.1:2"
+	kv := emul.NewStore("127.0.0.1:0")
+	if err := kv.Server.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer kv.Close()
+	log := hclog.NewNullLogger()
+	source := platform.NewSource(platform.NewStore(kv.Server.Address()), log)
+	cache := view.NewCache("front-1", clockwork.NewRealClock(), log)
+	saved := kv.Copy()
+	if err := source.Register(t.Context(), "front-1", address); err != nil {
+		t.Fatal(err)
+	}
+	kv.Restore(saved)
+	c, err := source.Load(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	cache.Apply(c)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	w := &rewriter{
+		cache:  cache,
+		log:    log,
+		spread: time.Millisecond,
+		tasks: []func(ctx context.Context){func(ctx context.Context) {
+			if err := source.Renew(ctx, "front-1", address); err != nil {
+				t.Error(err)
+			}
+			cancel()
+		}},
+	}
+	w.run(ctx, source.Era())
+	if kv.Lookup(member) == nil {
+		t.Error("not registered again")
+	}
+	if era := source.Era(); era != kv.Era() {
+		t.Errorf("registered in era %d, want %d", era, kv.Era())
+	}
+}
