Bound the least share of lower ranks by that of the first

With shed set to all, lower ranks were admitted half the time however little the groups had room for. The least share is now half of what the first rank is admitted; with ranked refusals, that rank is always admitted. Decide is split.

--- a/admit/shed.go
+++ b/admit/shed.go
@@ -96,32 +96,59 @@
 	terms := s.terms(engine)
 	s.shares.add(now, d.Account, s.work.cost(engine, &d))
 	s.observe(now, terms, groups)
-	highest, _ := s.turns.ranksInUse(now)
-	yields := rank > highest
-	space := s.room.space(terms, groups, d.Aim, s.turns.gap(now, rank, d.Gap), yields)
-	share := s.share(now, space)
-	least := 0.0
-	if yields {
-		least = starvationShare
-	}
-	turn := s.turn(now, engine, space, share, &d)
+	f := s.fit(now, terms, groups, &d)
+	turn := s.turn(now, engine, f.space, f.share, &d)
 	s.turns.add(now, rank, turn, d.Gap)
 	s.aim = d.Aim
 	switch {
-	case !space.known:
+	case !f.space.known:
 		return s.admit(now, d, ReasonUnknown)
-	case share >= 1, s.ranked && !yields && turn != turnExcess:
+	case f.share >= 1, s.ranked && !f.yields && turn != turnExcess:
 		return s.admit(now, d, ReasonRoom)
-	case s.random() < max(s.turns.admitted(share, rank, turn), least):
+	case s.random() < max(s.turns.admitted(f.share, rank, turn), f.least):
 		return s.admit(now, d, ReasonTurn)
 	}
 	return Decision{
 		Reason:     ReasonFull,
-		RetryAfter: s.retryAfter(space, share, d.Remaining),
+		RetryAfter: s.retryAfter(f.space, f.share, d.Remaining),
 		Urgency:    s.turns.urgency(now, rank, d.late()),
 	}
 }
 
+// fit is how much of a kind of requests the groups have room for.
+type fit struct {
+	space space
+	// share is the share of requests to be admitted, least the probability that this kind has at least.
+	share float64
+	least float64
+	// yields is set if others go before.
+	yields bool
+}
+
+func (s *Shedder) fit(now time.Time, terms engineTerms, groups []Group, d *Demand) fit {
+	rank := d.rank()
+	gap := s.turns.gap(now, rank, d.Gap)
+	highest, _ := s.turns.ranksInUse(now)
+	if rank <= highest {
+		space := s.room.space(terms, groups, d.Aim, gap, false)
+		return fit{
+			space: space,
+			share: s.share(now, space),
+		}
+	}
+	first := 1.0
+	if !s.ranked {
+		first = s.share(now, s.room.space(terms, groups, d.Aim, gap, false))
+	}
+	space := s.room.space(terms, groups, d.Aim, gap, true)
+	return fit{
+		space:  space,
+		share:  min(first, s.share(now, space)),
+		least:  starvationShare * first,
+		yields: true,
+	}
+}
+
 // share returns the share of requests to be admitted.
 func (s *Shedder) share(now time.Time, space space) float64 {
 	switch {
