Let one holder of an instance's limit send at once

Callers saw: where many entries share the limit of an instance, for example while it is cold, all of them were refused for up to seconds although the instance was idle. TestColdInstanceAtGatesIsNotFlooded then found that no request reached it in 0.9 s ("0 requests reached the cold instance").

Cause: a holder with a burst of one starts with a random fraction of a token, independent of the others. At 20 entries the cold instance's 2.8 requests per second have 8 holders of 0.35 each, so a holder may send within 0.9 s with probability 0.315, and none of them may in 0.685^8, about 5% of the starts. It depends on the random numbers, not on the load of the machine.

Now each holder draws its fraction from a part of its own, by its rank. The fractions stay spread out, the bound on what all of them send stays the same, and one holder may send within 1/rate of the limit's start.

--- a/quota/record.go
+++ b/quota/record.go
@@ -80,9 +80,11 @@
 		return
 	}
 	r.bucket = rate.NewLimiter(rate.Limit(s.rate), s.burst)
-	// Each bucket starts short of a random fraction of a token, so that the first requests of
-	// holders with a burst of one are spread out.
-	r.bucket.AllowN(now.Add(-seconds(random()/s.rate)), 1)
+	// Each bucket starts with a fraction of its last token, random within a part that no other holder has.
+	// So the first requests of holders with a burst of one are spread out, and one of them may be sent
+	// within the time in which the instance accepts one.
+	fraction := (float64(fleet.rank(self, start)) + random()) / float64(n)
+	r.bucket.AllowN(now.Add(-seconds(fraction/s.rate)), 1)
 }
 
 // wait returns the time until this entry may send a request, or zero if it may send now.
--- a/quota/share.go
+++ b/quota/share.go
@@ -78,9 +78,14 @@
 	return len(f.Members) + 1
 }
 
-// isHolder reports whether the entry is one of the given number of holders of an instance's limit by
-// rendezvous hashing.
+// isHolder reports whether the entry is one of the given number of holders of an instance's limit.
 func (f Fleet) isHolder(self string, start core.Start, holders int) bool {
+	return f.rank(self, start) < holders
+}
+
+// rank returns how many other entries hold a share of an instance's limit rather than this one, by
+// rendezvous hashing.
+func (f Fleet) rank(self string, start core.Start) int {
 	seed := route.Seed(start.ID)
 	own := route.RendezvousWeight(self, seed)
 	before := 0
@@ -89,5 +94,5 @@
 			before++
 		}
 	}
-	return before < holders
+	return before
 }
