Test that a gate refuses lower ranks while its groups are crowded

Taking out the refusal in checkRoom, or the urgency of its decision, left all tests green: only package admit was tested.

--- /dev/null
+++ b/gate/room_refuse_test.go
@@ -0,0 +1,61 @@
+package gate
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"geraniumpass/core"
+	"geraniumpass/loads"
+	"geraniumpass/meter"
+	"geraniumpass/plan"
+	"geraniumpass/view"
+)
+
+// TestCrowdedGroupRefusesLowerRanks guards against a gate that knows that its groups are crowded and goes
+// on sending them the requests of lower ranks, or tells engines nothing of the ranks. The load is a group
+// whose steps take 130 ms, where callers accept 120.
+func TestCrowdedGroupRefusesLowerRanks(t *testing.T) {
+	clock, log := clockwork.NewFakeClock(), hclog.NewNullLogger()
+	table := (&plan.Table{
+		Routes: []plan.Route{
+			{Name: "first", Rank: 0, Kind: plan.KindStream, Aim: 400 * time.Millisecond, Gap: 120 * time.Millisecond, Shares: []plan.Share{{Service: "svc", Weight: 1}}},
+			{Name: "second", Rank: 1, Kind: plan.KindStream, Aim: 400 * time.Millisecond, Gap: 120 * time.Millisecond, Shares: []plan.Share{{Service: "svc", Weight: 1}}},
+		},
+		Services: []plan.Service{{Name: "svc", Engine: &plan.Engine{Slots: 10, StepMs: 4.84, SequenceMs: 0.435, StepTokens: 7, ReadPerSecond: 74_800, Sets: 12, Prompt: 800, Answer: 160}}},
+	}).Compile()
+	in := core.Instance{ID: "i-1", Service: "svc", Address: "127.0.0.1:1", Slots: 10}
+	cache := view.NewCache("front-1", clock, log)
+	cache.Apply(view.Change{Rev: 1, Full: true, Table: table, Put: []core.Instance{in}, Members: map[string]string{"front-1": "x"}})
+	g := New(Options{Name: "front-1"}, clock, log, cache, nil, meter.New(clock))
+	refused, urgency := make([]int, 2), make([]int, 2)
+	for i := range 400 {
+		clock.Advance(10 * time.Millisecond)
+		if i%10 == 0 {
+			g.groups.Update(loads.Group{Name: "a", Open: true, StepTime: 130 * time.Millisecond, Ranks: []loads.Rank{{Start: in.Start(), Running: 9, Pace: 1}}})
+			g.observeRoom()
+		}
+		for rank := range refused {
+			w := httptest.NewRecorder()
+			r := &request{g: g, w: w, snap: cache.Now(), route: &table.Routes[rank], service: table.Service("svc"), receivedAt: clock.Now(), deadline: clock.Now().Add(8 * time.Second)}
+			r.stream.lastEvent = -1
+			if status := r.checkRoom(); status != 0 {
+				refused[rank]++
+				if status != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" {
+					t.Fatalf("refused with status %d and headers %v", status, w.Header())
+				}
+			}
+			urgency[rank] = r.currentUrgency()
+		}
+	}
+	if refused[0] > 0 || refused[1] == 0 {
+		t.Errorf("refused %d of the first and %d of the second rank", refused[0], refused[1])
+	}
+	if urgency[0] >= urgency[1] {
+		t.Errorf("urgencies are %v, want the first rank before the second", urgency)
+	}
+}
