--- a/gate/groups_bench_test.go
+++ b/gate/groups_bench_test.go
@@ -17,16 +17,21 @@
 
 // requestAmongGroups returns a request for a service of 576 instances in 18 groups with recent loads.
 func requestAmongGroups() *request {
+	return requestAmong(18, 32)
+}
+
+// requestAmong returns a request for a service of groups with the given number of ranks and recent loads.
+func requestAmong(groups, ranks int) *request {
 	clock, log := clockwork.NewFakeClock(), hclog.NewNullLogger()
 	cache := view.NewCache("front-1", clock, log)
 	g := New(Options{}, clock, log, cache, nil, meter.New(clock))
 	var list []core.Instance
-	for i := range 18 {
+	for i := range groups {
 		group := loads.Group{
 			Name: fmt.Sprint("group-", i),
 			Open: true,
 		}
-		for r := range 32 {
+		for r := range ranks {
 			in := core.Instance{
 				ID:        fmt.Sprintf("i-%d-%d", i, r),
 				Service:   "svc",
