--- a/gate/room_refuse_test.go
+++ b/gate/room_refuse_test.go
@@ -16,10 +16,16 @@
 	"geraniumpass/view"
 )
 
-// TestCrowdedGroupRefusesLowerRanks guards against a gate that knows that its groups are crowded and goes
-// on sending them the requests of lower ranks, or tells engines nothing of the ranks. The load is a group
-// whose steps take 130 ms, where callers accept 120.
-func TestCrowdedGroupRefusesLowerRanks(t *testing.T) {
+// crowdedSite is a gate in front of one group of one rank, for which requests of two ranks are made.
+type crowdedSite struct {
+	clock *clockwork.FakeClock
+	table *plan.Table
+	cache *view.Cache
+	in    core.Instance
+	gate  *Gate
+}
+
+func newCrowdedSite() *crowdedSite {
 	clock, log := clockwork.NewFakeClock(), hclog.NewNullLogger()
 	table := (&plan.Table{
 		Routes: []plan.Route{
@@ -31,17 +37,36 @@
 	in := core.Instance{ID: "i-1", Service: "svc", Address: "127.0.0.1:1", Slots: 10}
 	cache := view.NewCache("front-1", clock, log)
 	cache.Apply(view.Change{Rev: 1, Full: true, Table: table, Put: []core.Instance{in}, Members: map[string]string{"front-1": "x"}})
-	g := New(Options{Name: "front-1"}, clock, log, cache, nil, meter.New(clock))
+	return &crowdedSite{
+		clock: clock,
+		table: table,
+		cache: cache,
+		in:    in,
+		gate:  New(Options{Name: "front-1"}, clock, log, cache, nil, meter.New(clock)),
+	}
+}
+
+// report posts a status of the group with the given duration of a step.
+func (s *crowdedSite) report(step time.Duration) {
+	s.gate.groups.Update(loads.Group{Name: "a", Open: true, StepTime: step, Ranks: []loads.Rank{{Start: s.in.Start(), Running: 9, Pace: 1}}})
+}
+
+// TestCrowdedGroupRefusesLowerRanks guards against a gate that knows that its groups are crowded and goes
+// on sending them the requests of lower ranks, or tells engines nothing of the ranks. The load is a group
+// whose steps take 130 ms, where callers accept 120.
+func TestCrowdedGroupRefusesLowerRanks(t *testing.T) {
+	s := newCrowdedSite()
+	g, clock, table := s.gate, s.clock, s.table
 	refused, urgency := make([]int, 2), make([]int, 2)
 	for i := range 400 {
 		clock.Advance(10 * time.Millisecond)
 		if i%10 == 0 {
-			g.groups.Update(loads.Group{Name: "a", Open: true, StepTime: 130 * time.Millisecond, Ranks: []loads.Rank{{Start: in.Start(), Running: 9, Pace: 1}}})
+			s.report(130 * time.Millisecond)
 			g.observeRoom()
 		}
 		for rank := range refused {
 			w := httptest.NewRecorder()
-			r := &request{g: g, w: w, snap: cache.Now(), route: &table.Routes[rank], service: table.Service("svc"), receivedAt: clock.Now(), deadline: clock.Now().Add(8 * time.Second)}
+			r := &request{g: g, w: w, snap: s.cache.Now(), route: &table.Routes[rank], service: table.Service("svc"), receivedAt: clock.Now(), deadline: clock.Now().Add(8 * time.Second)}
 			r.stream.lastEvent = -1
 			if status := r.checkRoom(); status != 0 {
 				refused[rank]++
