--- a/gate/relocate_test.go
+++ b/gate/relocate_test.go
@@ -96,25 +96,7 @@
 func (s *relocationSite) start(ctx context.Context, path string) (int, <-chan string) {
 	s.t.Helper()
 	answered := make(chan string, 1)
-	go func() {
-		req, err := emul.StreamRequest(ctx, strings.TrimPrefix(s.front.URL, "http://"), "h.example", "r-1")
-		if err != nil {
-			answered <- err.Error()
-			return
-		}
-		req.URL.Path = path
-		resp, err := http.DefaultClient.Do(req)
-		if err != nil {
-			answered <- err.Error()
-			return
-		}
-		defer func() { _ = resp.Body.Close() }()
-		body, err := io.ReadAll(resp.Body)
-		if err != nil {
-			body = append(body, err.Error()...)
-		}
-		answered <- resp.Status + "\n" + string(body)
-	}()
+	go func() { answered <- s.request(ctx, path) }()
 	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		for i, srv := range s.servers {
 			if srv.Runs("r-1") > 0 {
@@ -126,6 +108,26 @@
 	return 0, nil
 }
 
+// request sends a request and returns the status and the body of its answer, followed by the error that
+// ended it.
+func (s *relocationSite) request(ctx context.Context, path string) string {
+	req, err := emul.StreamRequest(ctx, strings.TrimPrefix(s.front.URL, "http://"), "h.example", "r-1")
+	if err != nil {
+		return err.Error()
+	}
+	req.URL.Path = path
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		body = append(body, err.Error()...)
+	}
+	return resp.Status + "\n" + string(body)
+}
+
 // report posts the statuses of both groups, one of them changed, until ctx is done.
 func (s *relocationSite) report(ctx context.Context, own int, change func(own, other *loads.Group)) {
 	for ctx.Err() == nil {
