--- a/feed/feeder_test.go
+++ b/feed/feeder_test.go
@@ -27,11 +27,13 @@
 	starts []core.Start
 	frozen atomic.Bool
 	links  atomic.Int64
+	// changed receives a value when a link has begun or ended.
+	changed chan struct{}
 }
 
 func (a *standIn) serve(l *wire.Link) {
-	a.links.Add(1)
-	defer a.links.Add(-1)
+	a.count(1)
+	defer a.count(-1)
 	_ = l.Receive(func(f *proto.Frame) {
 		if f.GroupLoadRequest != nil {
 			go a.publish(l)
@@ -39,6 +41,14 @@
 	})
 }
 
+func (a *standIn) count(links int64) {
+	a.links.Add(links)
+	select {
+	case a.changed <- struct{}{}:
+	default:
+	}
+}
+
 func (a *standIn) publish(l *wire.Link) {
 	g := loads.Group{Name: "g", Epoch: 1, Open: true}
 	for _, s := range a.starts {
@@ -61,6 +71,7 @@
 	t.Helper()
 	port = "0"
 	starts := make([]core.Start, n)
+	changed := make(chan struct{}, 1)
 	for i := range n {
 		host := net.IPv4(127, 0, 0, byte(i+1)).String()
 		ln, err := net.Listen("tcp4", net.JoinHostPort(host, port))
@@ -70,26 +81,48 @@
 		_, port, _ = net.SplitHostPort(ln.Addr().String())
 		in := core.Instance{ID: host, Service: "lm", Domain: "a", Address: net.JoinHostPort(host, "1"), StartedAt: 1}
 		rows, starts[i] = append(rows, in), in.Start()
-		a := &standIn{id: host, starts: starts}
+		a := &standIn{id: host, starts: starts, changed: changed}
 		agents = append(agents, a)
-		own := wire.Identity{ID: host, Role: wire.RoleAgent, Domain: "a"}
-		s := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
-			_ = wire.Accept(ctx, own, testKey, a.serve)
-		}}
-		go func() { _ = s.Serve(ln) }()
-		t.Cleanup(func() { _ = ln.Close() })
+		acceptLinks(t, ln, host, a.serve)
 	}
 	return agents, rows, port
 }
 
+// acceptLinks calls serve with each link to an agent until the test ends.
+func acceptLinks(t *testing.T, ln net.Listener, id string, serve func(l *wire.Link)) {
+	t.Helper()
+	own := wire.Identity{ID: id, Role: wire.RoleAgent, Domain: "a"}
+	s := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		_ = wire.Accept(ctx, own, testKey, serve)
+	}}
+	go func() { _ = s.Serve(ln) }()
+	t.Cleanup(func() { _ = ln.Close() })
+}
+
 // startFeeder runs a feeder on the given instances until the test ends.
 func startFeeder(t *testing.T, rows []core.Instance, port string) *loads.Board {
 	t.Helper()
-	clock, log := clockwork.NewRealClock(), hclog.NewNullLogger()
+	f := newFeeder(clockwork.NewRealClock(), rows, port)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return f.Board
+}
+
+// newFeeder returns a feeder of an entry that knows the given instances.
+func newFeeder(clock clockwork.Clock, rows []core.Instance, port string) *Feeder {
+	log := hclog.NewNullLogger()
 	cache := view.NewCache("front-1", clock, log)
 	table := &plan.Table{Version: 1, Services: []plan.Service{{Name: "lm", Engine: &plan.Engine{Sets: 2}}}}
 	cache.Apply(view.Change{Rev: 1, Full: true, Table: table.Compile(), Put: rows})
-	f := &Feeder{
+	return &Feeder{
 		Self:   wire.Identity{ID: "front-1", Role: wire.RoleEntry, Domain: "a"},
 		Key:    testKey,
 		View:   cache,
@@ -99,17 +132,6 @@
 		Clock:  clock,
 		Log:    log,
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		f.Run(ctx)
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-done
-	})
-	return f.Board
 }
 
 func subscribed(agents []*standIn) (out []*standIn) {
@@ -121,10 +143,19 @@
 	return out
 }
 
-func within(t *testing.T, d time.Duration, what string, ok func() bool) {
+// within waits until ok, which is asked with each status and each link that begins or ends.
+func within(t *testing.T, d time.Duration, what string, board *loads.Board, links <-chan struct{}, ok func() bool) {
 	t.Helper()
-	for end := time.Now().Add(d); !ok(); time.Sleep(5 * time.Millisecond) {
-		if time.Now().After(end) {
+	end := time.After(d)
+	for {
+		heard := board.Changed()
+		if ok() {
+			return
+		}
+		select {
+		case <-heard:
+		case <-links:
+		case <-end:
 			t.Fatalf("not within %s: %s", d, what)
 		}
 	}
@@ -136,12 +167,15 @@
 	agents, rows, port := startAgents(t, 4)
 	board := startFeeder(t, rows, port)
 	recent := func() bool { return len(board.Recent()) == 1 }
-	within(t, 5*time.Second, "the group is known by two feeds", func() bool {
+	within(t, 5*time.Second, "the group is known by two feeds", board, agents[0].changed, func() bool {
 		return recent() && len(subscribed(agents)) == feedsPerGroup
 	})
 	frozen := subscribed(agents)[0]
+	// A status is recent for a second, so that nothing recent is known for a moment only if the time
+	// runs out.
+	<-board.Changed()
 	frozen.frozen.Store(true)
-	within(t, time.Second, "another agent is subscribed to and the frozen one no longer", func() bool {
+	within(t, time.Second, "another agent is subscribed to and the frozen one no longer", board, agents[0].changed, func() bool {
 		if !recent() {
 			t.Fatal("nothing recent is known of the group")
 		}
