--- a/view/restore_test.go
+++ b/view/restore_test.go
@@ -10,6 +10,25 @@
 	"geraniumpass/store"
 )
 
+// playRestore takes the steps and checks which instances are in use after them, and later, once the store is
+// believed again.
+func playRestore(t *testing.T, steps []func(v *Cache), want, later string) {
+	t.Helper()
+	clock := clockwork.NewFakeClock()
+	v := newRestoredCache(clock)
+	for _, step := range steps {
+		step(v)
+	}
+	if got := usableIDs(v); got != want {
+		t.Errorf("in use: %swant %s", got, want)
+	}
+	clock.Advance(carryTime)
+	v.ExpireLapsed()
+	if got := usableIDs(v); got != later {
+		t.Errorf("in use once the store is believed again: %swant %s", got, later)
+	}
+}
+
 // TestInstanceThatLeftIsNotUsedAgain guards against requests to an instance that was leaving or gone,
 // because the store was restored from a copy in which it is in use.
 func TestInstanceThatLeftIsNotUsedAgain(t *testing.T) {
@@ -53,19 +72,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			clock := clockwork.NewFakeClock()
-			v := newRestoredCache(clock)
-			for _, step := range tt.steps {
-				step(v)
-			}
-			if got := usableIDs(v); got != tt.want {
-				t.Errorf("in use: %swant %s", got, tt.want)
-			}
-			clock.Advance(carryTime)
-			v.ExpireLapsed()
-			if got := usableIDs(v); got != "i-1 i-2 " {
-				t.Errorf("in use once the store is believed again: %s", got)
-			}
+			playRestore(t, tt.steps, tt.want, "i-1 i-2 ")
 		})
 	}
 }
@@ -162,19 +169,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			clock := clockwork.NewFakeClock()
-			v := newRestoredCache(clock)
-			for _, step := range tt.steps {
-				step(v)
-			}
-			if got := usableIDs(v); got != tt.want {
-				t.Errorf("in use: %swant %s", got, tt.want)
-			}
-			clock.Advance(carryTime)
-			v.ExpireLapsed()
-			if got := usableIDs(v); got != tt.later {
-				t.Errorf("in use once the store is believed again: %swant %s", got, tt.later)
-			}
+			playRestore(t, tt.steps, tt.want, tt.later)
 		})
 	}
 }
