Share the blocks of the tests of published loads

Two tests started a leader and stalled the group in the same lines; the leader's heartbeats slept between two sends. They now share a function for each, with the same checks, and heartbeats come by a ticker that ends with the link. Package group passes with -race.

--- a/group/publish_test.go
+++ b/group/publish_test.go
@@ -163,13 +163,36 @@
 	known.observe(now, 1, core.Start{ID: "i-1", StartedAt: 1}, &proto.GroupRank{})
 	known.update(now, []float64{1, 1}, []float64{1, 1})
 	go func() {
+		beat := time.NewTicker(heartbeatInterval)
+		defer beat.Stop()
 		for l.Send(&proto.Frame{RankOrder: &proto.GroupOrder{Fence: 1, Group: "g", Loads: known.message(l)}}) == nil {
-			time.Sleep(heartbeatInterval)
+			select {
+			case <-l.Done():
+			case <-beat.C:
+			}
 		}
 	}()
 	return l
 }
 
+// startLedGroup starts a leader and waits until the agent publishes steps and ranks, whose loads it returns.
+func startLedGroup(t *testing.T, address string) (leader *wire.Link, heard <-chan loads.Group) {
+	t.Helper()
+	leader = startLeader(t, address)
+	heard = subscribe(t, address)
+	waitForLoad(t, heard, "steps and has a leader", func(g loads.Group) bool { return g.StepTime > 0 && hasRanks(g) })
+	return leader, heard
+}
+
+// checkStallIsHeard stalls the group and checks that subscribers hear of it in time.
+func checkStallIsHeard(t *testing.T, g *steppingGroup, heard <-chan loads.Group) {
+	t.Helper()
+	g.stall()
+	if d := waitForLoad(t, heard, "is stalled", isStalled); d > 500*time.Millisecond {
+		t.Errorf("heard of the stall after %s", d)
+	}
+}
+
 func isStalled(g loads.Group) bool { return g.StalledFor >= stalledAfter }
 
 func hasRanks(g loads.Group) bool { return len(g.Ranks) == 2 }
@@ -180,15 +203,10 @@
 func TestSubscriberHearsStallWithoutLeader(t *testing.T) {
 	g := newSteppingGroup()
 	address := startAgent(t, g, 0)
-	leader := startLeader(t, address)
-	heard := subscribe(t, address)
-	waitForLoad(t, heard, "steps and has a leader", func(g loads.Group) bool { return g.StepTime > 0 && hasRanks(g) })
+	leader, heard := startLedGroup(t, address)
 	leader.Close()
 	waitForLoad(t, heard, "has no leader", func(g loads.Group) bool { return len(g.Ranks) == 0 && !isStalled(g) })
-	g.stall()
-	if d := waitForLoad(t, heard, "is stalled", isStalled); d > 500*time.Millisecond {
-		t.Errorf("heard of the stall after %s", d)
-	}
+	checkStallIsHeard(t, g, heard)
 }
 
 // TestIdleRankTellsStallOfOthers guards against an entry that listens to a rank without requests and
@@ -196,13 +214,8 @@
 func TestIdleRankTellsStallOfOthers(t *testing.T) {
 	g := newSteppingGroup()
 	address := startAgent(t, g, 1)
-	startLeader(t, address)
-	heard := subscribe(t, address)
-	waitForLoad(t, heard, "steps and has a leader", func(g loads.Group) bool { return g.StepTime > 0 && hasRanks(g) })
-	g.stall()
-	if d := waitForLoad(t, heard, "is stalled", isStalled); d > 500*time.Millisecond {
-		t.Errorf("heard of the stall after %s", d)
-	}
+	_, heard := startLedGroup(t, address)
+	checkStallIsHeard(t, g, heard)
 }
 
 // TestPublishedLoadHasOwnRankAndStarts guards against loads that entries cannot assign to instances, and
