--- a/gate/relocate_test.go
+++ b/gate/relocate_test.go
@@ -97,15 +97,22 @@
 	s.t.Helper()
 	answered := make(chan string, 1)
 	go func() { answered <- s.request(ctx, path) }()
-	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+	end := time.After(3 * time.Second)
+	for {
+		begins := []<-chan struct{}{s.servers[0].Began(), s.servers[1].Began()}
 		for i, srv := range s.servers {
 			if srv.Runs("r-1") > 0 {
 				return i, answered
 			}
 		}
+		select {
+		case <-begins[0]:
+		case <-begins[1]:
+		case <-end:
+			s.t.Fatal("no server got the request")
+			return 0, nil
+		}
 	}
-	s.t.Fatal("no server got the request")
-	return 0, nil
 }
 
 // request sends a request and returns the status and the body of its answer, followed by the error that
