--- a/gate/relocate_test.go
+++ b/gate/relocate_test.go
@@ -96,34 +96,43 @@
 func (s *relocationSite) start(ctx context.Context, path string) (int, <-chan string) {
 	s.t.Helper()
 	answered := make(chan string, 1)
-	go func() {
-		req, err := emul.StreamRequest(ctx, strings.TrimPrefix(s.front.URL, "http://"), "h.example", "r-1")
-		if err != nil {
-			answered <- err.Error()
-			return
-		}
-		req.URL.Path = path
-		resp, err := http.DefaultClient.Do(req)
-		if err != nil {
-			answered <- err.Error()
-			return
-		}
-		defer func() { _ = resp.Body.Close() }()
-		body, err := io.ReadAll(resp.Body)
-		if err != nil {
-			body = append(body, err.Error()...)
-		}
-		answered <- resp.Status + "\n" + string(body)
-	}()
-	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+	go func() { answered <- s.request(ctx, path) }()
+	end := time.After(3 * time.Second)
+	for {
+		begins := []<-chan struct{}{s.servers[0].Began(), s.servers[1].Began()}
 		for i, srv := range s.servers {
 			if srv.Runs("r-1") > 0 {
 				return i, answered
 			}
 		}
+		select {
+		case <-begins[0]:
+		case <-begins[1]:
+		case <-end:
+			s.t.Fatal("no server got the request")
+			return 0, nil
+		}
+	}
+}
+
+// request sends a request and returns the status and the body of its answer, followed by the error that
+// ended it.
+func (s *relocationSite) request(ctx context.Context, path string) string {
+	req, err := emul.StreamRequest(ctx, strings.TrimPrefix(s.front.URL, "http://"), "h.example", "r-1")
+	if err != nil {
+		return err.Error()
+	}
+	req.URL.Path = path
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		body = append(body, err.Error()...)
 	}
-	s.t.Fatal("no server got the request")
-	return 0, nil
+	return resp.Status + "\n" + string(body)
 }
 
 // report posts the statuses of both groups, one of them changed, until ctx is done.
