Pick among groups by a sample instead of a look at all instances

What callers saw: each request waited for a pick that looked at all instances of its service four times and allocated 350 bytes for each: 0.15 ms at 64 instances, 2.4 ms at 1,152, and several times that on the quarter of a core that a gateway has. Cause: LeastLoadedOf compares four random instances, but conditions, estimates and views of all were worked out before. Now instances are drawn until four are suitable, and only these are looked at. Too few suitable ones in 32 draws, no usable group, or no more than 32 instances: the pick looks at all as before. A drawn instance whose load no agent has reported gets the estimate of before, from all. Why it decides the same: drawing stops by how many suitable instances were drawn alone, so the four are uniform among all suitable ones, as the shuffle's first four were. Nothing is kept between picks.

--- a/gate/groups.go
+++ b/gate/groups.go
@@ -64,6 +64,19 @@
 	return out
 }
 
+// conditionOf returns the condition of one incarnation.
+func (g *Gate) conditionOf(start core.Start, route *plan.Route, now time.Time) condition {
+	s, rank, ok := g.groups.Find(start)
+	if !ok {
+		return condition{}
+	}
+	c := groupCondition(&s, route.Gap)
+	if rank >= 0 {
+		c.setLoad(&s, rank, now)
+	}
+	return c
+}
+
 // groupCondition returns the condition that all instances of a group have in common.
 func groupCondition(s *loads.Status, gap time.Duration) condition {
 	return condition{
--- a/gate/loads.go
+++ b/gate/loads.go
@@ -208,9 +208,23 @@
 	return out
 }
 
+// failuresOf returns the estimate of an instance without its load.
+func (t *loadTracker) failuresOf(start core.Start, now time.Time) estimate {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ld, ok := t.byStart[start]
+	if !ok {
+		return estimate{}
+	}
+	return estimate{
+		failures: ld.decayedFailures(now),
+		failing:  ld.isFailing(now),
+	}
+}
+
 // isBarred reports whether an instance is picked only if there is no other.
 func (t *loadTracker) isBarred(start core.Start, now time.Time) bool {
-	return t.estimates([]core.Start{start}, now)[0].isBarred()
+	return t.failuresOf(start, now).isBarred()
 }
 
 // recordInvalid records the error of an answer with invalid headers and reports whether it differs
--- /dev/null
+++ b/gate/outlook.go
@@ -0,0 +1,54 @@
+package gate
+
+import (
+	"time"
+
+	"geraniumpass/core"
+	"geraniumpass/route"
+	"geraniumpass/view"
+)
+
+// outlook is what all instances of a pick have in common.
+type outlook struct {
+	snap *view.Snapshot
+	now  time.Time
+	// preferred is the set of the IDs of the preferred instances.
+	preferred map[string]bool
+	// answering is set if instances of the service have answered lately.
+	answering bool
+	// isProbe is set for the few picks that may take a stalled group.
+	isProbe bool
+	// avoidUnusable is set if the group of some instance is usable.
+	avoidUnusable bool
+}
+
+func (r *request) newOutlook(snap *view.Snapshot, now time.Time, avoidUnusable bool) outlook {
+	return outlook{
+		snap:          snap,
+		now:           now,
+		preferred:     r.g.preferredInstances(snap, r.service.Name),
+		answering:     r.g.health.isAnswering(r.service.Name, now),
+		isProbe:       r.g.pickRandom.Float64() < probeShare,
+		avoidUnusable: avoidUnusable,
+	}
+}
+
+// instanceView returns the load and condition of an instance; e is this entry's own estimate.
+func (r *request) instanceView(o *outlook, in core.Instance, c *condition, e estimate) route.InstanceView {
+	start := in.Start()
+	if c.hasLoad {
+		e.load = c.load + float64(r.g.loads.begunSince(start, c.loadAt))
+	}
+	isSilent := o.answering && r.g.loads.silentFor(start, o.now) > maxSilence
+	isAvoided := o.avoidUnusable && c.isAvoided(o.isProbe) || r.hasLeft(start)
+	return route.InstanceView{
+		Domain:      in.Domain,
+		Load:        e.load,
+		Slots:       in.Slots,
+		Preferred:   o.preferred[in.ID],
+		Pace:        max(o.snap.Pace(in), c.pace),
+		Penalty:     e.failures * failurePenalty,
+		HasIdleConn: r.g.pool.IdleCount(targetOf(in)) > 0,
+		LastResort:  e.isBarred() || isSilent || isAvoided || r.g.isReplaced(o.snap, in),
+	}
+}
--- a/gate/pick.go
+++ b/gate/pick.go
@@ -6,6 +6,7 @@
 	"github.com/samber/lo"
 
 	"geraniumpass/core"
+	"geraniumpass/quota"
 	"geraniumpass/route"
 	"geraniumpass/view"
 )
@@ -18,6 +19,9 @@
 	r.updateCold(snap, now)
 	r.g.pickMu.Lock()
 	defer r.g.pickMu.Unlock()
+	if in, ok = r.sample(snap, now); ok {
+		return r.take(in, snap, now)
+	}
 	list := r.candidates(snap, now)
 	starts := startsOf(list)
 	conditions := r.g.conditions(starts, r.route, now)
@@ -31,41 +35,26 @@
 	if i < 0 {
 		return core.Instance{}, false
 	}
-	if r.permit, ok = r.g.acquire(list[i].Start(), fleetOf(snap), now); !ok {
+	return r.take(list[i], snap, now)
+}
+
+// take counts the request as in flight at an instance. ok is false if its limit doesn't allow that.
+func (r *request) take(in core.Instance, snap *view.Snapshot, now time.Time) (_ core.Instance, ok bool) {
+	if r.permit, ok = r.g.acquire(in.Start(), fleetOf(snap), now); !ok {
 		return core.Instance{}, false
 	}
-	r.g.loads.begin(list[i].Start())
-	r.g.loads.recordBegin(list[i].Start(), now)
-	return list[i], true
+	r.g.loads.begin(in.Start())
+	r.g.loads.recordBegin(in.Start(), now)
+	return in, true
 }
 
 // instanceViews returns the load and condition of each instance. The load that agents reported replaces
 // this entry's own estimate while it is recent.
 func (r *request) instanceViews(snap *view.Snapshot, list []core.Instance, conditions []condition, now time.Time) []route.InstanceView {
-	preferred := r.g.preferredInstances(snap, r.service.Name)
-	answering := r.g.health.isAnswering(r.service.Name, now)
-	avoidUnusable := anyUsable(conditions)
-	isProbe := r.g.pickRandom.Float64() < probeShare
-	starts := startsOf(list)
+	o := r.newOutlook(snap, now, anyUsable(conditions))
 	views := make([]route.InstanceView, len(list))
-	for i, e := range r.g.loads.estimates(starts, now) {
-		in := list[i]
-		c := &conditions[i]
-		if c.hasLoad {
-			e.load = c.load + float64(r.g.loads.begunSince(in.Start(), c.loadAt))
-		}
-		isSilent := answering && r.g.loads.silentFor(in.Start(), now) > maxSilence
-		isAvoided := avoidUnusable && c.isAvoided(isProbe) || r.hasLeft(in.Start())
-		views[i] = route.InstanceView{
-			Domain:      in.Domain,
-			Load:        e.load,
-			Slots:       in.Slots,
-			Preferred:   preferred[in.ID],
-			Pace:        max(snap.Pace(in), c.pace),
-			Penalty:     e.failures * failurePenalty,
-			HasIdleConn: r.g.pool.IdleCount(targetOf(in)) > 0,
-			LastResort:  e.isBarred() || isSilent || isAvoided || r.g.isReplaced(snap, in),
-		}
+	for i, e := range r.g.loads.estimates(startsOf(list), now) {
+		views[i] = r.instanceView(&o, list[i], &conditions[i], e)
 	}
 	return views
 }
@@ -83,6 +72,10 @@
 func (r *request) candidates(snap *view.Snapshot, now time.Time) []core.Instance {
 	fleet := fleetOf(snap)
 	return lo.Filter(snap.Usable(r.service.Name), func(in core.Instance, _ int) bool {
-		return !r.tried[in.Start()] && !r.g.isBlocked(in.Start(), fleet, now)
+		return r.isCandidate(in.Start(), fleet, now)
 	})
 }
+
+func (r *request) isCandidate(start core.Start, fleet quota.Fleet, now time.Time) bool {
+	return !r.tried[start] && !r.g.isBlocked(start, fleet, now)
+}
--- /dev/null
+++ b/gate/sample_test.go
@@ -0,0 +1,137 @@
+package gate
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"geraniumpass/core"
+)
+
+// pickedGroups returns how often each group is picked in n picks that leave the loads as they were.
+func pickedGroups(t *testing.T, r *request, n int) map[string]int {
+	t.Helper()
+	out := make(map[string]int)
+	for range n {
+		in, ok := r.pick()
+		if !ok {
+			t.Fatal("no instance is available")
+		}
+		r.g.loads.end(in.Start())
+		r.g.loads.get(in.Start()).begun = nil
+		r.permit.Cancel(r.g.clock.Now())
+		out[r.g.groups.GroupOf(in.Start())]++
+	}
+	return out
+}
+
+// TestNextPickSeesNewStatus guards against picks by what was worked out from an earlier status: requests
+// would go on to a group that has stalled or closed, or stay away from one that takes requests again.
+func TestNextPickSeesNewStatus(t *testing.T) {
+	const picks = 300
+	r := requestAmong(2)
+	s := r.g.groups.Recent()["group-1"]
+	steps := []struct {
+		name    string
+		open    bool
+		stalled time.Duration
+		want    bool
+	}{
+		{name: "sound", open: true, want: true},
+		{name: "closed", want: false},
+		{name: "open again", open: true, want: true},
+		{name: "stalled", open: true, stalled: time.Second, want: false},
+		{name: "going on", open: true, want: true},
+	}
+	for _, step := range steps {
+		s.Open, s.StalledFor = step.open, step.stalled
+		r.g.groups.Update(s.Group)
+		got := pickedGroups(t, r, picks)
+		if (got["group-1"] > 0) != step.want || got["group-0"] == 0 {
+			t.Errorf("%s: picks by group %v", step.name, got)
+		}
+	}
+}
+
+// TestSampleSkipsUnsuitableInstances guards against a sample that takes instances which a look at all
+// would leave out, at random positions among many.
+func TestSampleSkipsUnsuitableInstances(t *testing.T) {
+	r := requestAmong(4)
+	now := r.g.clock.Now()
+	r.tried = make(map[core.Start]bool)
+	list := r.g.view.Now().Usable("svc")
+	unsuitable := make(map[core.Start]bool)
+	for i, in := range list {
+		start := in.Start()
+		unsuitable[start] = i%5 > 0
+		switch i % 5 {
+		case 1:
+			r.tried[start] = true
+		case 2:
+			r.g.cooldowns.record(start, now, now.Add(time.Second))
+		case 3:
+			r.g.loads.recordFailure(start, 2*barThreshold, now)
+		case 4:
+			r.g.loads.markAddressReused(start)
+		}
+	}
+	for range 500 {
+		in, ok := r.pick()
+		if !ok || unsuitable[in.Start()] {
+			t.Fatalf("picked %q, ok %v", in.ID, ok)
+		}
+	}
+}
+
+// TestSamplePicksAsLookAtAll guards against a sample that prefers other instances than a look at all does:
+// each group gets the same share of the picks, also one whose load no agent has reported.
+func TestSamplePicksAsLookAtAll(t *testing.T) {
+	const picks, tolerance = 8000, 250
+	r := requestAmong(4)
+	r.g.pickRandom = rand.New(rand.NewPCG(1, 2))
+	now := r.g.clock.Now()
+	s := r.g.groups.Recent()["group-3"]
+	s.RanksAge = maxLoadAge
+	r.g.groups.Update(s.Group)
+	snap := r.g.view.Now()
+	sampled, all := make(map[string]int), make(map[string]int)
+	for range picks {
+		in, ok := r.sample(snap, now)
+		if !ok {
+			t.Fatal("no instance was sampled")
+		}
+		sampled[r.g.groups.GroupOf(in.Start())]++
+		list := r.candidates(snap, now)
+		conditions := r.g.conditions(startsOf(list), r.route, now)
+		i := r.choose(r.instanceViews(snap, list, conditions, now), anyUsable(conditions))
+		all[r.g.groups.GroupOf(list[i].Start())]++
+	}
+	for name, want := range all {
+		if got := sampled[name]; got < want-tolerance || got > want+tolerance {
+			t.Errorf("%s: sampled %d times, want about %d of %d", name, got, want, picks)
+		}
+	}
+}
+
+// TestPickCostDoesNotGrowWithFleet guards against a pick that looks at each instance: at a small share of
+// a core that delays every request, in proportion to the deployment.
+func TestPickCostDoesNotGrowWithFleet(t *testing.T) {
+	const maxAllocs = 6
+	for _, groups := range benchSizes {
+		t.Run(fmt.Sprint(groups*ranksPerGroup), func(t *testing.T) {
+			r := requestAmong(groups)
+			allocs := testing.AllocsPerRun(100, func() {
+				in, ok := r.pick()
+				if !ok {
+					t.Fatal("no instance is available")
+				}
+				r.g.loads.end(in.Start())
+				r.permit.Cancel(r.g.clock.Now())
+			})
+			if allocs > maxAllocs {
+				t.Errorf("%.0f allocations, want at most %d", allocs, maxAllocs)
+			}
+		})
+	}
+}
