Know the groups of a service until its instances or their places change

What users saw: a decision on room, and each change of the loads up to ten times a second, looked up the groups of all instances of the service; each status wrote the places of all its ranks again. Cause: groupsOf asked for the membership of all instances, though only the names of their groups were needed. A status whose ranks are of the same incarnations as the last one's writes no places, unless another group took one of them meanwhile. Statuses themselves are never kept: each decision reads the newest ones.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -82,7 +82,8 @@
 	pickMu     sync.Mutex
 	pickRandom *rand.Rand
 
-	preferred preferredCache
+	preferred  preferredCache
+	groupNames groupNames
 
 	inFlight atomic.Int64
 	draining atomic.Bool
--- a/gate/relocate.go
+++ b/gate/relocate.go
@@ -94,8 +94,7 @@
 
 // groupsOf returns the groups with a recent status that have a usable instance of the service, by name.
 func (g *Gate) groupsOf(service string) map[string]loads.Status {
-	known := g.groups.Membership(startsOf(g.view.Now().Usable(service)))
-	return lo.KeyBy(known.Groups, func(s loads.Status) string { return s.Name })
+	return g.groups.Named(g.groupNamesOf(g.view.Now(), service))
 }
 
 func startsOf(list []core.Instance) []core.Start {
--- a/loads/board.go
+++ b/loads/board.go
@@ -28,6 +28,8 @@
 	mu      sync.Mutex
 	byName  map[string]*posted
 	placeOf map[core.Start]place
+	// placesVersion rises with each change of placeOf.
+	placesVersion int64
 	// changed is closed and replaced at each update.
 	changed chan struct{}
 }
@@ -35,6 +37,8 @@
 type posted struct {
 	group      Group
 	receivedAt time.Time
+	// placesVersion is that of the board when placeOf held the places of all ranks.
+	placesVersion int64
 }
 
 // place is the group and the rank of an incarnation as of the last status that named it.
@@ -72,22 +76,51 @@
 			g.RanksAge = age
 		}
 	}
-	b.byName[g.Name] = &posted{
+	next := &posted{
 		group:      g,
 		receivedAt: now,
 	}
-	for i := range g.Ranks {
-		if start := g.Ranks[i].Start; start.ID != "" {
-			b.placeOf[start] = place{
-				group: g.Name,
-				rank:  i,
-			}
-		}
+	if p == nil || p.placesVersion != b.placesVersion || !haveSameStarts(p.group.Ranks, g.Ranks) {
+		b.setPlaces(&g)
 	}
+	next.placesVersion = b.placesVersion
+	b.byName[g.Name] = next
 	close(b.changed)
 	b.changed = make(chan struct{})
 }
 
+// setPlaces records the places of a group's incarnations.
+func (b *Board) setPlaces(g *Group) {
+	changed := false
+	for i := range g.Ranks {
+		start := g.Ranks[i].Start
+		at := place{
+			group: g.Name,
+			rank:  i,
+		}
+		if start.ID != "" && b.placeOf[start] != at {
+			b.placeOf[start] = at
+			changed = true
+		}
+	}
+	if changed {
+		b.placesVersion++
+	}
+}
+
+// haveSameStarts reports whether the ranks are of the same incarnations.
+func haveSameStarts(x, y []Rank) bool {
+	if len(x) != len(y) {
+		return false
+	}
+	for i := range x {
+		if x[i].Start != y[i].Start {
+			return false
+		}
+	}
+	return true
+}
+
 // Changed returns a channel that is closed at the next update.
 func (b *Board) Changed() <-chan struct{} {
 	b.mu.Lock()
@@ -137,6 +170,7 @@
 	for start, at := range b.placeOf {
 		if !keep(start) {
 			delete(b.placeOf, start)
+			b.placesVersion++
 			continue
 		}
 		used[at.group] = true
--- /dev/null
+++ b/loads/names_test.go
@@ -0,0 +1,31 @@
+package loads
+
+import (
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+
+	"geraniumpass/core"
+)
+
+// TestInstanceFollowsNewestStatus guards against a status without new incarnations that leaves an instance
+// with the group that named it in between: its requests would be decided by another group's condition.
+func TestInstanceFollowsNewestStatus(t *testing.T) {
+	b := NewBoard(clockwork.NewFakeClock())
+	starts := []core.Start{startNamed("a")}
+	for _, name := range []string{"g", "g", "h", "g", "g"} {
+		before := b.PlacesVersion()
+		was := b.GroupOf(starts[0])
+		b.Update(statusOf(name, "a", 1))
+		s, rank, ok := b.Find(starts[0])
+		if !ok || s.Name != name || rank != 0 {
+			t.Errorf("after a status of %s: rank %d of %q", name, rank, s.Name)
+		}
+		if got := b.GroupsOf(starts); len(got) != 1 || got[0] != name {
+			t.Errorf("after a status of %s: groups %v", name, got)
+		}
+		if changed := b.PlacesVersion() != before; changed != (was != name) {
+			t.Errorf("after a status of %s: places count as changed: %v", name, changed)
+		}
+	}
+}
