Check a group's load when something changed, not fifty times a second

Cause: every agent checked each 20 ms whether the condition of its group had changed, and copied the loads of all ranks for that. The condition changes only with a report of its engine, every 60 ms at most, or with loads of the leader, every 100 ms. These now cause the check, so that a change is told up to 20 ms earlier; a timer runs until the load is due. Why the messages stay the same: a load is still sent at once when the condition changed, and else 100 or 300 ms after the last one.

--- a/group/agent.go
+++ b/group/agent.go
@@ -162,6 +162,7 @@
 		}
 	}
 	busy := a.storeReport(rep)
+	a.publisher.notify()
 	a.sendState()
 	return stepped || busy
 }
--- a/group/publish.go
+++ b/group/publish.go
@@ -17,8 +17,6 @@
 	// busyPublishInterval and idlePublishInterval are the intervals of the loads sent to subscribers.
 	busyPublishInterval = 100 * time.Millisecond
 	idlePublishInterval = 300 * time.Millisecond
-	// publishTick is how often an agent checks whether the group's condition has changed.
-	publishTick = 20 * time.Millisecond
 	// noVersion is the version of the incarnations on a link that has had none.
 	noVersion = 0
 )
@@ -31,6 +29,8 @@
 // publisher sends the load of a group to the entries that subscribed.
 type publisher struct {
 	log hclog.Logger
+	// changed has an element if anything that is sent may have changed since the last check.
+	changed chan struct{}
 
 	mu sync.Mutex
 	// links holds the version of the incarnations that each subscriber has had.
@@ -44,8 +44,17 @@
 
 func newPublisher(log hclog.Logger) *publisher {
 	return &publisher{
-		log:   log,
-		links: make(map[*wire.Link]int64),
+		log:     log,
+		changed: make(chan struct{}, 1),
+		links:   make(map[*wire.Link]int64),
+	}
+}
+
+// notify makes the group's condition be checked now.
+func (p *publisher) notify() {
+	select {
+	case p.changed <- struct{}{}:
+	default:
 	}
 }
 
@@ -60,6 +69,7 @@
 	p.links[l] = noVersion
 	p.sentAt = time.Time{}
 	loadSubscribers.Add(1)
+	p.notify()
 }
 
 func (p *publisher) unsubscribe(l *wire.Link) {
@@ -71,33 +81,42 @@
 	}
 }
 
-// publishUntil sends the group's load to the subscribers until ctx ends.
+// publishUntil sends the group's load to the subscribers until ctx ends: whenever the condition changes,
+// which shows in a report of the engine or in loads of the leader, and otherwise at intervals.
 func (a *Agent) publishUntil(ctx context.Context) {
-	tick := a.Clock.NewTicker(publishTick)
-	defer tick.Stop()
+	timer := a.Clock.NewTimer(idlePublishInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.Chan():
-			a.publish()
+		case <-a.publisher.changed:
+		case <-timer.Chan():
 		}
+		timer.Reset(a.publish())
 	}
 }
 
-func (a *Agent) publish() {
+// publish sends the load if it is due, and returns the time until it is due unless something changes.
+func (a *Agent) publish() time.Duration {
 	now := a.Clock.Now()
 	a.mu.Lock()
 	g, ok := a.seen.group(now)
 	version, step := a.seen.startsVersion, a.seen.own.Step
 	a.mu.Unlock()
-	if ok && a.publisher.isDue(now, &g, step) {
+	if !ok {
+		return idlePublishInterval
+	}
+	due, next := a.publisher.isDue(now, &g, step)
+	if due {
 		a.publisher.send(&g, version)
 	}
+	return next
 }
 
-// isDue reports whether the load has to be sent at now, and logs a change of the condition.
-func (p *publisher) isDue(now time.Time, g *loads.Group, step int64) bool {
+// isDue reports whether the load has to be sent at now, and logs a change of the condition. next is the
+// time until it has to be sent if the condition stays.
+func (p *publisher) isDue(now time.Time, g *loads.Group, step int64) (due bool, next time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	interval := idlePublishInterval
@@ -105,14 +124,14 @@
 		interval = busyPublishInterval
 	}
 	c := conditionOf(g)
-	if c.equals(p.last) && now.Sub(p.sentAt) < interval {
+	if since := now.Sub(p.sentAt); c.equals(p.last) && since < interval {
 		p.stalledFor = max(p.stalledFor, g.StalledFor)
-		return false
+		return false, interval - since
 	}
 	p.logChange(g, c, step)
 	p.last, p.sentAt = c, now
 	p.stalledFor = g.StalledFor
-	return true
+	return true, interval
 }
 
 func (p *publisher) logChange(g *loads.Group, c condition, step int64) {
--- a/group/serve.go
+++ b/group/serve.go
@@ -99,5 +99,6 @@
 	defer a.mu.Unlock()
 	if a.leader == l && o.Group == a.report.Group && len(ranks) == a.report.Size {
 		a.seen.setRanks(a.Clock.Now(), ranks)
+		a.publisher.notify()
 	}
 }
