Pass on to the selection of feeds only what it doesn't know

What was seen: each status woke the goroutine that selects the agents and wrote the group of each of its ranks there, 20 times a second for each group, though both hardly ever change. Cause: all statuses were passed on. Now those are that name another group or other instances than the last one passed on, and one in 300 ms, which is what the log of lost groups needs. The board gets all.

--- a/feed/link.go
+++ b/feed/link.go
@@ -48,7 +48,8 @@
 	return "unknown"
 }
 
-// follow subscribes to an agent and calls heard for each status until ctx or the subscription ends.
+// follow subscribes to an agent, records each status on the board, and calls heard for those that matter
+// to the selection, until ctx or the subscription ends.
 func (f *Feeder) follow(ctx context.Context, a agent, heard func(g *loads.Group)) end {
 	l, err := wire.DialTimeout(dialTimeout, a.address, f.Self, f.Key)
 	if err != nil {
@@ -84,6 +85,7 @@
 
 func (f *Feeder) consume(ctx context.Context, l *wire.Link, messages <-chan *proto.GroupLoad, heard func(g *loads.Group)) end {
 	var decoder loads.Decoder
+	var last posted
 	silence := f.Clock.NewTimer(silenceTimeout)
 	defer silence.Stop()
 	renew := f.Clock.NewTicker(renewInterval)
@@ -110,7 +112,9 @@
 				return endBadMessage
 			}
 			f.Board.Update(g)
-			heard(&g)
+			if last.isDue(f.Clock.Now(), &g) {
+				heard(&g)
+			}
 			silence.Reset(silenceTimeout)
 		}
 	}
--- a/loads/board.go
+++ b/loads/board.go
@@ -80,7 +80,7 @@
 		group:      g,
 		receivedAt: now,
 	}
-	if p == nil || p.placesVersion != b.placesVersion || !haveSameStarts(p.group.Ranks, g.Ranks) {
+	if p == nil || p.placesVersion != b.placesVersion || !HaveSameStarts(p.group.Ranks, g.Ranks) {
 		b.setPlaces(&g)
 	}
 	next.placesVersion = b.placesVersion
@@ -108,8 +108,8 @@
 	}
 }
 
-// haveSameStarts reports whether the ranks are of the same incarnations.
-func haveSameStarts(x, y []Rank) bool {
+// HaveSameStarts reports whether two lists of ranks are of the same incarnations.
+func HaveSameStarts(x, y []Rank) bool {
 	if len(x) != len(y) {
 		return false
 	}
