Don't look for agents where none can be dialed

Cause, by reading: a feed counted as incomplete as long as some instance was in no group or some feed was of another failure domain, which may be for good. TestAgentsOutsideGroupsAreNoWork fails without this: settled at 0 of 200 looks.

--- a/feed/next.go
+++ b/feed/next.go
@@ -40,10 +40,16 @@
 	return true
 }
 
-// isSettled reports whether no further agent is needed.
-func (s *selection) isSettled() bool {
+// isSettled reports whether all known groups have their feeds and no other agent can be dialed now. Agents
+// that no group has named, or feeds from other failure domains, may then wait for long.
+func (s *selection) isSettled(now time.Time) bool {
 	known := s.survey()
-	return known.isComplete()
+	for _, v := range known.covers {
+		if v.missing() > 0 {
+			return false
+		}
+	}
+	return known.isComplete() || s.choose(now) == nil
 }
 
 // next returns the agent to dial next. ok is false if none is to be dialed now. Groups that nothing is
--- a/feed/session.go
+++ b/feed/session.go
@@ -98,7 +98,7 @@
 
 // interval returns the time until the next step unless a subscription ends or begins.
 func (s *session) interval() time.Duration {
-	if hasInstances(s.snapshot) && s.selection.isSettled() {
+	if hasInstances(s.snapshot) && s.selection.isSettled(s.Clock.Now()) {
 		return settledInterval
 	}
 	return selectInterval
--- a/feed/settled_test.go
+++ b/feed/settled_test.go
@@ -8,6 +8,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"geraniumpass/core"
+	"geraniumpass/loads"
 	"geraniumpass/plan"
 	"geraniumpass/view"
 )
@@ -64,3 +65,28 @@
 	}
 	check("with a subscription missing", selectInterval)
 }
+
+// TestAgentsOutsideGroupsAreNoWork guards against an entry that looks through its feeds all the time because
+// some instances are in no group, as when there are fewer than a group has ranks.
+func TestAgentsOutsideGroupsAreNoWork(t *testing.T) {
+	agents := append(agentsIn(2), agentAt(2, 0), agentAt(2, 1))
+	silent := func(a agent) *loads.Group {
+		if a.start == startOf(2, 0) || a.start == startOf(2, 1) {
+			return nil
+		}
+		return led(a)
+	}
+	e := newEntry(1, "a", agents, silent)
+	e.run(10 * time.Second)
+	settled := 0
+	const looks = 200
+	for range looks {
+		if e.isSettled(e.now) {
+			settled++
+		}
+		e.run(selectInterval)
+	}
+	if settled < looks*9/10 {
+		t.Errorf("settled at %d of %d looks", settled, looks)
+	}
+}
