Encode a frame for many links once

What was seen: an agent encoded the load of its group for each entry that subscribed, a leader its heartbeat with the loads of all ranks for each rank, though the bytes are the same; an agent built both messages even without subscribers. Cause: links encoded whatever they sent themselves. They now also take a frame that is encoded already. The bytes on the wire are those of before, by TestEncodedFrameIsReceivedLikeAnyOther. TestFrameForManyLinksIsEncodedOnce holds the encoded bytes to be one for all links. Writing to the links still costs a system call for each.

--- a/group/links.go
+++ b/group/links.go
@@ -124,15 +124,26 @@
 	}
 	d.heartbeatAt = now
 	d.loads.update(now, d.reportedPaces, d.paces)
+	frames := newEncodedFrames(d.m.Log)
+	byLoads := make(map[*proto.RankLoads]*proto.Frame)
 	for _, l := range d.links {
 		if l != nil {
-			f := d.heartbeatFrame()
-			f.RankOrder.Loads = d.loads.message(l)
-			_ = l.Send(f)
+			frames.send(l, d.heartbeatWith(byLoads, d.loads.message(l)))
 		}
 	}
 }
 
+// heartbeatWith returns the heartbeat with the given loads, the same for all ranks.
+func (d *leadership) heartbeatWith(byLoads map[*proto.RankLoads]*proto.Frame, loads *proto.RankLoads) *proto.Frame {
+	f, ok := byLoads[loads]
+	if !ok {
+		f = d.heartbeatFrame()
+		f.RankOrder.Loads = loads
+		byLoads[loads] = f
+	}
+	return f
+}
+
 // heartbeatFrame returns a heartbeat. It may run in any goroutine, since it reads only fields that
 // do not change.
 func (d *leadership) heartbeatFrame() *proto.Frame {
--- a/group/publish.go
+++ b/group/publish.go
@@ -148,16 +148,20 @@
 
 // send sends the load to all subscribers, with the incarnations to those that have not had them.
 func (p *publisher) send(g *loads.Group, version int64) {
+	recipients := p.recipients(version, len(g.Ranks) > 0)
+	if len(recipients) == 0 {
+		return
+	}
 	bare := &proto.Frame{GroupLoad: loads.Encode(g, version, false)}
 	full := &proto.Frame{GroupLoad: loads.Encode(g, version, true)}
-	hasRanks := len(g.Ranks) > 0
-	for l, needsStarts := range p.recipients(version, hasRanks) {
+	frames := newEncodedFrames(p.log)
+	for l, needsStarts := range recipients {
 		f := bare
 		if needsStarts {
 			f = full
 		}
 		// The end of a link ends its subscription in Serve.
-		_ = l.Send(f)
+		frames.send(l, f)
 		loadsPublished.Add(1)
 	}
 }
--- /dev/null
+++ b/wire/outgoing.go
@@ -0,0 +1,21 @@
+package wire
+
+import (
+	"bytes"
+
+	"geraniumpass/proto"
+)
+
+// outgoing is a queued frame, encoded already or not.
+type outgoing struct {
+	frame   *proto.Frame
+	encoded []byte
+}
+
+func (o *outgoing) appendTo(buf *bytes.Buffer) error {
+	if o.frame != nil {
+		return proto.Encode(buf, o.frame)
+	}
+	_, err := buf.Write(o.encoded)
+	return err
+}
