Keep new requests from groups whose steps are too long while another has room

Cause: a pick went by requests and pace of a rank. All ranks take each step together, so that the steps of the group decide, and a slow rank with no requests of its own still delays them as long as it holds experts. Change: groups with steps over the permitted pause get no new requests as long as another usable group has steps in time (0.85 of the pause) and free slots (0.9 of them in use at most). Counted in group_delayed_picks. Other services and routes without a permitted pause are picked as before.

--- a/gate/groups.go
+++ b/gate/groups.go
@@ -23,13 +23,18 @@
 	probeShare = 0.03
 )
 
+// delayedPicks counts the picks that avoided a group because of the time of its steps.
+var delayedPicks = expvar.NewInt("group_delayed_picks")
+
 // groupPicks counts the picks among instances whose groups have a recent status and among others.
 var groupPicks = expvar.NewMap("group_picks")
 
 // condition is what the status of a group says about one of its instances. The zero value means that
 // nothing recent is known.
 type condition struct {
-	known  bool
+	known bool
+	// group is the name of the group.
+	group  string
 	open   bool
 	usable bool
 	// idle is set if no rank of the group is known to have requests.
@@ -81,6 +86,7 @@
 func groupCondition(s *loads.Status, gap time.Duration) condition {
 	return condition{
 		known:  true,
+		group:  s.Name,
 		open:   s.Open,
 		usable: s.IsUsable(gap),
 		idle:   s.Running()+s.Waiting() == 0,
--- a/gate/outlook.go
+++ b/gate/outlook.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"geraniumpass/core"
+	"geraniumpass/loads"
 	"geraniumpass/route"
 	"geraniumpass/view"
 )
@@ -20,6 +21,8 @@
 	isProbe bool
 	// avoidUnusable is set if the group of some instance is usable.
 	avoidUnusable bool
+	// delayed is the set of the groups whose steps take too long while another one has room.
+	delayed map[string]bool
 }
 
 func (r *request) newOutlook(snap *view.Snapshot, now time.Time, avoidUnusable bool) outlook {
@@ -30,9 +33,23 @@
 		answering:     r.g.health.isAnswering(r.service.Name, now),
 		isProbe:       r.g.pickRandom.Float64() < probeShare,
 		avoidUnusable: avoidUnusable,
+		delayed:       r.delayedGroups(),
 	}
 }
 
+// delayedGroups returns the groups of the service that the request avoids because of the time of their
+// steps.
+func (r *request) delayedGroups() map[string]bool {
+	if !r.needsRoom() || !r.g.groups.HasDelayed(r.route.Gap) {
+		return nil
+	}
+	out := loads.Delayed(r.g.groupsOf(r.service.Name), r.route.Gap, r.service.Engine.Slots)
+	if len(out) > 0 {
+		delayedPicks.Add(1)
+	}
+	return out
+}
+
 // instanceView returns the load and condition of an instance; e is this entry's own estimate.
 func (r *request) instanceView(o *outlook, in core.Instance, c *condition, e estimate) route.InstanceView {
 	start := in.Start()
@@ -40,7 +57,7 @@
 		e.load = c.load + float64(r.g.loads.begunSince(start, c.loadAt))
 	}
 	isSilent := o.answering && r.g.loads.silentFor(start, o.now) > maxSilence
-	isAvoided := o.avoidUnusable && c.isAvoided(o.isProbe) || r.hasLeft(start)
+	isAvoided := o.avoidUnusable && c.isAvoided(o.isProbe) || o.delayed[c.group] || r.hasLeft(start)
 	return route.InstanceView{
 		Domain:      in.Domain,
 		Load:        e.load,
