Hand out each port of a soak's processes once

What was seen: in trials a gateway of a crash test exited at its start with "bind: address already in use", and its test waited 15 s for it in vain.

Cause: freePort let the kernel choose a port, closed the listener and handed the port out, so that the next call could return it again. A gateway takes three ports of one address, and tests that run together take them of the same addresses.

deploy's allocator for deployments counts upwards below the ephemeral range, and no two calls of a process get one port.

--- a/deploy/port.go
+++ b/deploy/port.go
@@ -1,12 +1,12 @@
 package deploy
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"net"
+	"strconv"
 	"sync/atomic"
 
-	"github.com/zeebo/errs/v2"
+	"github.com/samber/lo"
 )
 
 // Ports are allocated below the kernel's ephemeral range. Otherwise an outgoing connection could
@@ -24,15 +24,26 @@
 
 // FreeAddress returns an unused loopback address, a different one on each call.
 func FreeAddress() (string, error) {
+	const ip = "127.0.0.1"
+	port, err := FreePort(ip)
+	return net.JoinHostPort(ip, port), err
+}
+
+// FreePort returns a port that is unused on all given IP addresses, a different one on each call.
+func FreePort(ips ...string) (string, error) {
 	for {
 		port := nextPort.Add(1)
 		if port >= lastPort {
 			return "", &TimeoutError{Condition: "a free port"}
 		}
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		ln, err := net.Listen("tcp", address)
-		if err == nil {
-			return address, errs.Wrap(ln.Close())
+		text := strconv.FormatInt(port, 10)
+		if lo.EveryBy(ips, func(ip string) bool { return isFree(net.JoinHostPort(ip, text)) }) {
+			return text, nil
 		}
 	}
 }
+
+func isFree(address string) bool {
+	ln, err := net.Listen("tcp", address)
+	return err == nil && ln.Close() == nil
+}
