Keep the check of a port out of processes that start

Cause: a port is checked by listening on it for a moment. When another goroutine starts a process meanwhile, the child has a copy of the listener until it executes its program, for up to 250 ms on a busy machine, and the port is in use until then.

The lock is what the standard library provides against this.

--- a/deploy/port.go
+++ b/deploy/port.go
@@ -5,6 +5,7 @@
 	"net"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/samber/lo"
 )
@@ -43,7 +44,11 @@
 	}
 }
 
+// isFree reports whether a process can listen at an address. The lock keeps the listener out of processes
+// that are being started, which would otherwise hold it until they execute their program.
 func isFree(address string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	ln, err := net.Listen("tcp", address)
 	return err == nil && ln.Close() == nil
 }
