Move requests only to where room is known

Cause: a request leaves because groups whose load is known have room for it, but its next instance was picked from all. One of which nothing is known looks idle, and was taken although its room had not been counted.

Fix: a request that has left an instance takes such an instance only if no known group is usable. First tries are picked as before.

--- a/gate/pick.go
+++ b/gate/pick.go
@@ -40,7 +40,8 @@
 }
 
 // instanceViews returns the load and condition of each instance. The load that agents reported replaces
-// this entry's own estimate while it is recent.
+// this entry's own estimate while it is recent. A request that has left an instance, usually with its last
+// attempt, avoids instances of unknown condition, because only the room of known groups let it leave.
 func (r *request) instanceViews(snap *view.Snapshot, list []core.Instance, conditions []condition, now time.Time) []route.InstanceView {
 	preferred := r.g.preferredInstances(snap, r.service.Name)
 	answering := r.g.health.isAnswering(r.service.Name, now)
@@ -55,7 +56,7 @@
 			e.load = c.load + float64(r.g.loads.begunSince(in.Start(), c.loadAt))
 		}
 		isSilent := answering && r.g.loads.silentFor(in.Start(), now) > maxSilence
-		isAvoided := avoidUnusable && c.isAvoided(isProbe) || r.hasLeft(in.Start())
+		isAvoided := avoidUnusable && (c.isAvoided(isProbe) || r.relocated && !c.known) || r.hasLeft(in.Start())
 		views[i] = route.InstanceView{
 			Domain:      in.Domain,
 			Load:        e.load,
