--- a/gate/outlook.go
+++ b/gate/outlook.go
@@ -50,14 +50,16 @@
 	return out
 }
 
-// instanceView returns the load and condition of an instance; e is this entry's own estimate.
+// instanceView returns the load and condition of an instance; e is this entry's own estimate. A request that
+// has left an instance, usually with its last attempt, avoids instances of unknown condition, because only
+// the room of known groups let it leave.
 func (r *request) instanceView(o *outlook, in core.Instance, c *condition, e estimate) route.InstanceView {
 	start := in.Start()
 	if c.hasLoad {
 		e.load = c.load + float64(r.g.loads.begunSince(start, c.loadAt))
 	}
 	isSilent := o.answering && r.g.loads.silentFor(start, o.now) > maxSilence
-	isAvoided := o.avoidUnusable && c.isAvoided(o.isProbe) || o.delayed[c.group] || r.hasLeft(start)
+	isAvoided := o.avoidUnusable && (c.isAvoided(o.isProbe) || r.relocated && !c.known) || o.delayed[c.group] || r.hasLeft(start)
 	return route.InstanceView{
 		Domain:      in.Domain,
 		Load:        e.load,
