Estimate the load of a drawn instance that is refused meanwhile

An entry whose agents reported no loads for half a second panicked when an instance refused a request with a cooldown between the draw of that instance and the estimate of its load for another request. Cause: cooldowns and limits change without the pick's lock, so that the candidates that estimateLoads lists anew may lack the drawn instance; its index was then -1. The test panicked before ('index out of range [-1]') and passes now: an instance that is missing is added to the list that loads are estimated of.

--- a/gate/sample.go
+++ b/gate/sample.go
@@ -88,11 +88,20 @@
 }
 
 // estimateLoads sets the loads that no agent has reported. They are estimated from those of all
-// candidates.
+// candidates. A refusal that is received meanwhile takes an instance off these.
 func (r *request) estimateLoads(d *drawn, snap *view.Snapshot, now time.Time) {
 	starts := startsOf(r.candidates(snap, now))
+	indexes := make([]int, len(d.unloaded))
+	for i, u := range d.unloaded {
+		start := d.instances[u].Start()
+		indexes[i] = slices.Index(starts, start)
+		if indexes[i] < 0 {
+			indexes[i] = len(starts)
+			starts = append(starts, start)
+		}
+	}
 	estimates := r.g.loads.estimates(starts, now)
-	for _, i := range d.unloaded {
-		d.views[i].Load = estimates[slices.Index(starts, d.instances[i].Start())].load
+	for i, u := range d.unloaded {
+		d.views[u].Load = estimates[indexes[i]].load
 	}
 }
--- a/gate/sample_test.go
+++ b/gate/sample_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"geraniumpass/core"
+	"geraniumpass/route"
 )
 
 // pickedGroups returns how often each group is picked in n picks that leave the loads as they were.
@@ -147,3 +148,23 @@
 		})
 	}
 }
+
+// TestDrawnInstanceIsRefusedMeanwhile guards against a panic of an entry that receives a refusal of an
+// instance while it estimates the load of that instance for another request.
+func TestDrawnInstanceIsRefusedMeanwhile(t *testing.T) {
+	r := requestAmong(2, ranksPerGroup)
+	now := r.g.clock.Now()
+	snap := r.g.view.Now()
+	in := snap.Usable("svc")[0]
+	d := drawn{
+		instances: []core.Instance{in},
+		views:     make([]route.InstanceView, 1),
+		unloaded:  []int{0},
+	}
+	r.g.loads.begin(in.Start())
+	r.g.cooldowns.record(in.Start(), now, now.Add(time.Second))
+	r.estimateLoads(&d, snap, now)
+	if d.views[0].Load != 1 {
+		t.Errorf("the load of an instance with one request is estimated as %.1f", d.views[0].Load)
+	}
+}
