Pick delayed groups before unusable ones if no group with room takes a request

Cause: instances of delayed groups became a last resort like those of closed, stalled and failing ones, and among these the least loaded one is picked. Delayed groups are now avoided only while an instance outside them is no last resort.

--- a/gate/pick.go
+++ b/gate/pick.go
@@ -52,13 +52,28 @@
 // this entry's own estimate while it is recent.
 func (r *request) instanceViews(snap *view.Snapshot, list []core.Instance, conditions []condition, now time.Time) []route.InstanceView {
 	o := r.newOutlook(snap, now, anyUsable(conditions))
+	views := r.viewsUnder(&o, list, conditions)
+	if len(o.delayed) > 0 && areAllLastResort(views) {
+		// Those that would relieve the delayed groups take nothing from this entry. Late streams are
+		// better than those of unusable groups.
+		o.delayed = nil
+		views = r.viewsUnder(&o, list, conditions)
+	}
+	return views
+}
+
+func (r *request) viewsUnder(o *outlook, list []core.Instance, conditions []condition) []route.InstanceView {
 	views := make([]route.InstanceView, len(list))
-	for i, e := range r.g.loads.estimates(startsOf(list), now) {
-		views[i] = r.instanceView(&o, list[i], &conditions[i], e)
+	for i, e := range r.g.loads.estimates(startsOf(list), o.now) {
+		views[i] = r.instanceView(o, list[i], &conditions[i], e)
 	}
 	return views
 }
 
+func areAllLastResort(views []route.InstanceView) bool {
+	return lo.EveryBy(views, func(v route.InstanceView) bool { return v.LastResort })
+}
+
 // choose returns the index of the instance to send to, negative if there is none. sharedLoads is set if
 // the loads come from agents, so that other entries pick by the same ones.
 func (r *request) choose(views []route.InstanceView, sharedLoads bool) int {
