Let no more requests avoid delayed groups than the others have room for

All entries sent what they kept from groups with long steps to the groups with room, until a status showed these full: with 17 of 18 groups late, 476 of 476 requests of a quarter of a second went to a group with room for 128 (980 of 980 with 35 late). Cause: the decision was the same for every request, and entries see the same statuses late. Each request now avoids them with the probability at which a tenth of the load of the delayed groups, what comes until the effect is seen, just fits into the free slots; nothing depends on the number of entries.

--- a/gate/outlook.go
+++ b/gate/outlook.go
@@ -43,7 +43,7 @@
 	if !r.needsRoom() || !r.g.groups.HasDelayed(r.route.Gap) {
 		return nil
 	}
-	out := loads.Delayed(r.g.groupsOf(r.service.Name), r.route.Gap, r.service.Engine.Slots)
+	out := loads.Delayed(r.g.groupsOf(r.service.Name), r.route.Gap, r.service.Engine.Slots, r.g.pickRandom.Float64())
 	if len(out) > 0 {
 		delayedPicks.Add(1)
 	}
--- /dev/null
+++ b/loads/delayed_share_test.go
@@ -0,0 +1,43 @@
+package loads
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// TestFewGroupsWithRoomAreNotFilled guards against entries that all send what they keep from groups with
+// long steps to the few others until the next status, since they see the same ones. Load: all groups but
+// one are late with nine requests of ten at each rank, the last one has five; streams last 2.5 s and entries
+// see statuses 0.25 s late, so that a tenth of the load comes meanwhile, whether from 9 or from 864 entries.
+func TestFewGroupsWithRoomAreNotFilled(t *testing.T) {
+	const (
+		running    = 9
+		arrivals   = running * testRanks / 10
+		room       = (running - 5) * testRanks
+		tolerance  = 1.25
+		lateGroup  = 140 * time.Millisecond
+		fewestSent = 0.75
+	)
+	for _, late := range []int{1, 17, 35} {
+		t.Run(fmt.Sprint(late), func(t *testing.T) {
+			list := []Status{newStatus("b", 5, nil)}
+			for i := range late {
+				list = append(list, newStatus(fmt.Sprint("a-", i), running, steps(lateGroup)))
+			}
+			groups := byName(list)
+			random := rand.New(rand.NewPCG(1, 2))
+			moved := 0
+			for range late * arrivals {
+				if len(Delayed(groups, testGap, testSlots, random.Float64())) > 0 {
+					moved++
+				}
+			}
+			want := float64(min(late*arrivals, room))
+			if got := float64(moved); got > tolerance*want || got < fewestSent*want {
+				t.Errorf("%d of %d requests go to the group with room for %d", moved, late*arrivals, room)
+			}
+		})
+	}
+}
--- a/loads/delayed_test.go
+++ b/loads/delayed_test.go
@@ -42,7 +42,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			got := Delayed(byName(tt.groups), testGap, testSlots)
+			got := Delayed(byName(tt.groups), testGap, testSlots, 0.99)
 			for i := range tt.want {
 				if name := tt.groups[i].Name; got[name] != tt.want[i] {
 					t.Errorf("group %s avoided: %v, want %v", name, got[name], tt.want[i])
@@ -56,10 +56,10 @@
 // limits no pause, or whose service has no engines.
 func TestGroupsWithoutAPermittedPauseAreNotAvoided(t *testing.T) {
 	groups := byName([]Status{newStatus("a", 4, steps(400*time.Millisecond)), newStatus("b", 5, nil)})
-	if got := Delayed(groups, 0, testSlots); len(got) > 0 {
+	if got := Delayed(groups, 0, testSlots, 0); len(got) > 0 {
 		t.Errorf("avoided without a permitted pause: %v", got)
 	}
-	if got := Delayed(groups, testGap, 0); len(got) > 0 {
+	if got := Delayed(groups, testGap, 0, 0); len(got) > 0 {
 		t.Errorf("avoided without engines: %v", got)
 	}
 }
