Decide once per pick whether to avoid delayed groups

Fewer requests avoided delayed groups than the others had room for, and group_delayed_picks counted more picks than did: 144 counted and 81 at the only group in time, of 300 picks with 17 of 18 groups late. Cause: a pick whose random instances were nearly all in delayed groups looked at all instances and drew anew whether to avoid these, and counted anew. The decision is now made at the begin of the pick. The test fails without it (144 counted, 81 done).

--- a/gate/delayed_last_test.go
+++ b/gate/delayed_last_test.go
@@ -47,3 +47,25 @@
 		})
 	}
 }
+
+// TestPickDecidesOnceOnDelayedGroups guards against a pick that draws again whether to avoid delayed groups
+// because few random instances are in others: fewer requests would avoid them than there is room for, and
+// the count of those that do would exceed the picks. Load: 17 of 18 groups are late.
+func TestPickDecidesOnceOnDelayedGroups(t *testing.T) {
+	r := requestAmongGroups()
+	change := make(map[string]func(g *loads.Group))
+	for name := range r.g.groups.Recent() {
+		change[name] = func(g *loads.Group) { g.StepTime = 400 * time.Millisecond }
+	}
+	change["group-1"] = func(g *loads.Group) {
+		for i := range g.Ranks {
+			g.Ranks[i].Running = 0
+		}
+	}
+	before := delayedPicks.Value()
+	got := picksByGroup(t, r, time.Second, change)
+	// A third fits, of 300.
+	if n := delayedPicks.Value() - before; n < 80 || n > 125 || n > int64(got["group-1"]) {
+		t.Errorf("%d picks avoid delayed groups, %d are of the other one", n, got["group-1"])
+	}
+}
--- a/gate/outlook.go
+++ b/gate/outlook.go
@@ -33,7 +33,7 @@
 		answering:     r.g.health.isAnswering(r.service.Name, now),
 		isProbe:       r.g.pickRandom.Float64() < probeShare,
 		avoidUnusable: avoidUnusable,
-		delayed:       r.delayedGroups(),
+		delayed:       r.delayed,
 	}
 }
 
--- a/gate/pick.go
+++ b/gate/pick.go
@@ -19,6 +19,7 @@
 	r.updateCold(snap, now)
 	r.g.pickMu.Lock()
 	defer r.g.pickMu.Unlock()
+	r.delayed = r.delayedGroups()
 	if in, ok = r.sample(snap, now); ok {
 		return r.take(in, snap, now)
 	}
--- a/gate/request.go
+++ b/gate/request.go
@@ -61,6 +61,8 @@
 	// digest identifies repetitions of the request; it is valid once hashed is set.
 	digest crash.Digest
 	hashed bool
+	// delayed is the set of the groups that the present pick avoids because of the time of their steps.
+	delayed map[string]bool
 	// closed is set once all instances were known to belong to closed groups.
 	closed bool
 	// lastInstance is the ID of the last instance tried, reason the cause of the last failure.
