Test loads that no agent reported, and a usable group that is blocked

TestSamplePicksAsLookAtAll meant to let one group have no recent loads, but a board keeps newer loads of the same epoch, and the estimate for it would have been zero: it passed with the estimates taken out. The status now has a later epoch, and instances have reported loads; it is otherwise as strict as before. A sample without the check for a usable candidate passed all tests too; the new test fails then.

--- a/gate/sample_test.go
+++ b/gate/sample_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"geraniumpass/core"
+	"geraniumpass/loads"
 	"geraniumpass/route"
 )
 
@@ -93,9 +94,14 @@
 	r.g.pickRandom = rand.New(rand.NewPCG(1, 2))
 	now := r.g.clock.Now()
 	s := r.g.groups.Recent()["group-3"]
+	// Older loads of the same epoch would not replace those known before.
+	s.Epoch++
 	s.RanksAge = maxLoadAge
 	r.g.groups.Update(s.Group)
 	snap := r.g.view.Now()
+	for _, in := range snap.Usable("svc") {
+		r.g.loads.recordReport(in.Start(), 8, 0, now)
+	}
 	sampled, all := make(map[string]int), make(map[string]int)
 	for range picks {
 		in, ok := r.sample(snap, now)
@@ -168,3 +174,25 @@
 		t.Errorf("the load of an instance with one request is estimated as %.1f", d.views[0].Load)
 	}
 }
+
+// TestLeastLoadedIsPickedIfNoUsableGroupTakesRequests guards against a pick among few random instances by this
+// entry's own loads, which other entries don't share, because a group whose instances are all blocked is usable.
+func TestLeastLoadedIsPickedIfNoUsableGroupTakesRequests(t *testing.T) {
+	r := requestAmong(3, ranksPerGroup)
+	now := r.g.clock.Now()
+	usable := r.g.groups.Recent()["group-0"].Group
+	r.g.groups = loads.NewBoard(r.g.clock)
+	r.g.groups.Update(usable)
+	list := r.g.view.Now().Usable("svc")
+	least := list[len(list)-1]
+	for _, in := range list[:len(list)-1] {
+		r.g.loads.begin(in.Start())
+		r.g.loads.begin(in.Start())
+		if r.g.groups.GroupOf(in.Start()) != "" {
+			r.g.cooldowns.record(in.Start(), now, now.Add(time.Second))
+		}
+	}
+	if in, ok := r.pick(); !ok || in.ID != least.ID {
+		t.Errorf("picked %q, ok %v, want %q", in.ID, ok, least.ID)
+	}
+}
