Pass on each status of an idle group to the selection of feeds

A status of an idle group that came a few milliseconds early was not passed on, so that a feed told the selection of its group every 600 instead of every 300 ms; a second one that came late would have had the group logged as lost (after 1 s) although its feeds were sound. No such log was seen; found by review. Cause: statuses were held back for 300 ms, which is the interval of agents of idle groups. They are now held back for 250 ms, which still passes on one in three of a busy group. The test failed before with arrivals 280 and 320 ms apart (each second one held back).

--- a/feed/posted.go
+++ b/feed/posted.go
@@ -7,8 +7,8 @@
 )
 
 // postInterval is how long a status that names the same group and instances as the last one is not
-// passed on to the selection. It is well within lostAfter.
-const postInterval = 300 * time.Millisecond
+// passed on to the selection. It is well within lostAfter, and below the interval of an idle group.
+const postInterval = 250 * time.Millisecond
 
 // posted is the status of a subscription that was passed on last.
 type posted struct {
--- a/feed/posted_test.go
+++ b/feed/posted_test.go
@@ -40,3 +40,24 @@
 		}
 	}
 }
+
+// TestStatusesOfIdleGroupsArePassedOn guards against a group that counts as lost because every second status
+// comes a little early and is not passed on: agents send one each 300 ms while a group is idle.
+func TestStatusesOfIdleGroupsArePassedOn(t *testing.T) {
+	const (
+		interval = 300 * time.Millisecond
+		jitter   = 20 * time.Millisecond
+	)
+	var p posted
+	now := testStart
+	for i := range 20 {
+		if i%2 > 0 {
+			now = now.Add(interval + jitter)
+		} else {
+			now = now.Add(interval - jitter)
+		}
+		if !p.isDue(now, &loads.Group{Name: "g"}) {
+			t.Errorf("status %d is not passed on", i)
+		}
+	}
+}
