--- a/loads/names_test.go
+++ b/loads/names_test.go
@@ -29,3 +29,20 @@
 		}
 	}
 }
+
+// TestForgottenInstanceIsKnownAgain guards against an instance that stays without a group because it was not
+// listed for a moment while the statuses of its group went on naming it.
+func TestForgottenInstanceIsKnownAgain(t *testing.T) {
+	b := NewBoard(clockwork.NewFakeClock())
+	start := startNamed("a")
+	b.Update(statusOf("g", "a", 1))
+	before := b.PlacesVersion()
+	b.Sweep(func(core.Start) bool { return false })
+	if b.GroupOf(start) != "" || b.PlacesVersion() == before {
+		t.Errorf("group %q of a forgotten instance, places version %d", b.GroupOf(start), b.PlacesVersion())
+	}
+	b.Update(statusOf("g", "a", 1))
+	if got := b.GroupOf(start); got != "g" {
+		t.Errorf("group %q after the next status", got)
+	}
+}
