--- a/loads/names_test.go
+++ b/loads/names_test.go
@@ -46,3 +46,25 @@
 		t.Errorf("group %q after the next status", got)
 	}
 }
+
+// TestFindKnowsOnlyPresentInstances guards against picks by the load of the instance that has taken another
+// one's place, or by a status that is no longer recent.
+func TestFindKnowsOnlyPresentInstances(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	b := NewBoard(clock)
+	gone, present := startNamed("a"), startNamed("b")
+	b.Update(statusOf("g", "a", 1))
+	g := statusOf("g", "b", 1)
+	g.Open = true
+	b.Update(g)
+	if _, rank, ok := b.Find(gone); !ok || rank >= 0 {
+		t.Errorf("rank %d of an instance that another one has replaced, ok %v", rank, ok)
+	}
+	if _, rank, ok := b.Find(present); !ok || rank != 0 || !b.HasUsable(testGap) {
+		t.Errorf("rank %d, ok %v, usable %v", rank, ok, b.HasUsable(testGap))
+	}
+	clock.Advance(maxAge)
+	if _, _, ok := b.Find(present); ok || b.HasUsable(testGap) {
+		t.Errorf("status of a second ago: ok %v, usable %v", ok, b.HasUsable(testGap))
+	}
+}
