--- a/gate/delayed_last_test.go
+++ b/gate/delayed_last_test.go
@@ -6,6 +6,7 @@
 
 	"geraniumpass/core"
 	"geraniumpass/loads"
+	"geraniumpass/plan"
 )
 
 // TestGroupsWithLongStepsGoBeforeUnusableOnes guards against requests in a closed group because the only
@@ -69,3 +70,21 @@
 		t.Errorf("%d picks avoid delayed groups, %d are of the other one", n, got["group-1"])
 	}
 }
+
+// TestAnswersThatAreNoStreamsAvoidNoGroups guards against leaving groups with long steps unused by requests
+// that no step delays noticeably.
+func TestAnswersThatAreNoStreamsAvoidNoGroups(t *testing.T) {
+	r := requestAmong(2, ranksPerGroup)
+	r.route.Kind = plan.KindIdempotent
+	got := picksByGroup(t, r, time.Second, map[string]func(g *loads.Group){
+		"group-0": func(g *loads.Group) { g.StepTime = 400 * time.Millisecond },
+		"group-1": func(g *loads.Group) {
+			for i := range g.Ranks {
+				g.Ranks[i].Running = 2
+			}
+		},
+	})
+	if got["group-0"] == 0 {
+		t.Errorf("requests by group: %v", got)
+	}
+}
