Queue pointers to outgoing frames again

Cause, by reading: each link has a queue of 4,096 elements, which made 32 bytes long instead of eight, 98 KB a link; a leader has 98 to 244 links. They are pointers again, for 32 bytes with each frame.

--- a/wire/link.go
+++ b/wire/link.go
@@ -48,7 +48,7 @@
 type Link struct {
 	Peer Identity
 	conn *websocket.Conn
-	out  chan outgoing
+	out  chan *outgoing
 	done chan struct{}
 	// writerDone is closed when the writer no longer uses the connection.
 	writerDone chan struct{}
@@ -112,7 +112,7 @@
 	l := &Link{
 		Peer:       peer,
 		conn:       c,
-		out:        make(chan outgoing, sendQueueFrames),
+		out:        make(chan *outgoing, sendQueueFrames),
 		done:       make(chan struct{}),
 		writerDone: make(chan struct{}),
 	}
@@ -124,16 +124,16 @@
 // Send queues a frame. It fails with a *ClosedError when the link is closed or its queue is full; a
 // full queue closes the link.
 func (l *Link) Send(f *proto.Frame) error {
-	return l.queue(outgoing{frame: f})
+	return l.queue(&outgoing{frame: f})
 }
 
 // SendEncoded is like Send with a frame that proto.Encode has encoded. The bytes must not be changed
 // afterwards, so that a frame for many links is encoded once.
 func (l *Link) SendEncoded(encoded []byte) error {
-	return l.queue(outgoing{encoded: encoded})
+	return l.queue(&outgoing{encoded: encoded})
 }
 
-func (l *Link) queue(f outgoing) error {
+func (l *Link) queue(f *outgoing) error {
 	select {
 	case <-l.done:
 		return &ClosedError{Peer: l.Peer.ID}
@@ -231,7 +231,7 @@
 
 // batch encodes f and all frames already queued, up to batchBytes, so that a burst costs one write,
 // and returns the number of frames.
-func (l *Link) batch(buf *bytes.Buffer, f outgoing) (int64, error) {
+func (l *Link) batch(buf *bytes.Buffer, f *outgoing) (int64, error) {
 	for n := int64(1); ; n++ {
 		if err := f.appendTo(buf); err != nil {
 			return n, err
--- a/wire/outgoing.go
+++ b/wire/outgoing.go
@@ -6,7 +6,8 @@
 	"geraniumpass/proto"
 )
 
-// outgoing is a queued frame, encoded already or not.
+// outgoing is a queued frame, encoded already or not. Queues hold pointers, since they are long and there are
+// many of them.
 type outgoing struct {
 	frame   *proto.Frame
 	encoded []byte
--- a/wire/outgoing_bench_test.go
+++ b/wire/outgoing_bench_test.go
@@ -58,11 +58,11 @@
 		{GroupLoad: &proto.GroupLoad{Group: "g"}},
 		{GroupLoadRequest: &proto.GroupLoadRequest{}},
 	}
-	l := &Link{out: make(chan outgoing, len(frames))}
-	l.out <- outgoing{encoded: encode(t, frames[1])}
-	l.out <- outgoing{frame: frames[2]}
+	l := &Link{out: make(chan *outgoing, len(frames))}
+	l.out <- &outgoing{encoded: encode(t, frames[1])}
+	l.out <- &outgoing{frame: frames[2]}
 	var buf bytes.Buffer
-	if n, err := l.batch(&buf, outgoing{frame: frames[0]}); err != nil || n != int64(len(frames)) {
+	if n, err := l.batch(&buf, &outgoing{frame: frames[0]}); err != nil || n != int64(len(frames)) {
 		t.Fatalf("%d frames in the batch, error %v", n, err)
 	}
 	var got []*proto.Frame
