Test that an ended feed is replaced at once

With the step after the end of a subscription taken out of Feeder.Run all tests passed: an agent would have been replaced up to a quarter of a second late.

--- a/feed/feeder_test.go
+++ b/feed/feeder_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
+	"github.com/samber/lo"
 	"github.com/valyala/fasthttp"
 
 	"geraniumpass/core"
@@ -27,11 +28,14 @@
 	starts []core.Start
 	frozen atomic.Bool
 	links  atomic.Int64
+	// link is the one that began last.
+	link atomic.Pointer[wire.Link]
 	// changed receives a value when a link has begun or ended.
 	changed chan struct{}
 }
 
 func (a *standIn) serve(l *wire.Link) {
+	a.link.Store(l)
 	a.count(1)
 	defer a.count(-1)
 	_ = l.Receive(func(f *proto.Frame) {
@@ -102,7 +106,12 @@
 // startFeeder runs a feeder on the given instances until the test ends.
 func startFeeder(t *testing.T, rows []core.Instance, port string) *loads.Board {
 	t.Helper()
-	f := newFeeder(clockwork.NewRealClock(), rows, port)
+	return startFeederAt(t, clockwork.NewRealClock(), rows, port)
+}
+
+func startFeederAt(t *testing.T, clock clockwork.Clock, rows []core.Instance, port string) *loads.Board {
+	t.Helper()
+	f := newFeeder(clock, rows, port)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -185,3 +194,26 @@
 		t.Errorf("instance is of group %q", got)
 	}
 }
+
+// TestEndedFeedIsReplacedAtOnce guards against an entry that replaces an agent that sent nonsense only when it
+// next looks through its feeds, which it seldom does. The clock stands still from then on.
+func TestEndedFeedIsReplacedAtOnce(t *testing.T) {
+	agents, rows, port := startAgents(t, 3)
+	clock := clockwork.NewFakeClock()
+	board := startFeederAt(t, clock, rows, port)
+	if err := clock.BlockUntilContext(t.Context(), 1); err != nil {
+		t.Fatal(err)
+	}
+	clock.Advance(selectInterval)
+	within(t, 5*time.Second, "two of three agents are kept", board, agents[0].changed, func() bool {
+		isAsked := lo.EveryBy(agents, func(a *standIn) bool { return a.link.Load() != nil })
+		return isAsked && len(subscribed(agents)) == feedsPerGroup
+	})
+	ended := subscribed(agents)[0]
+	if err := ended.link.Load().Send(&proto.Frame{GroupLoad: &proto.GroupLoad{}}); err != nil {
+		t.Fatal(err)
+	}
+	within(t, 5*time.Second, "another agent is subscribed to", board, agents[0].changed, func() bool {
+		return ended.links.Load() == 0 && len(subscribed(agents)) == feedsPerGroup
+	})
+}
