--- a/admit/load.go
+++ b/admit/load.go
@@ -73,6 +73,9 @@
 	trend   float64
 	inflow  float64
 	outflow float64
+	// running and ranks are those of the last status, zero if the group wasn't usable.
+	running int
+	ranks   int
 	// unevenness is learned from the median of the samples, step is the last one.
 	unevenness float64
 	step       time.Duration
--- a/admit/room.go
+++ b/admit/room.go
@@ -52,6 +52,7 @@
 	updatedAt   time.Time
 	// crowdedAt is when groups were last seen to be crowded.
 	crowdedAt time.Time
+	pauses    pauses
 }
 
 // space is the room of the usable groups for one pair of targets.
@@ -87,6 +88,10 @@
 			r.loads[g.Name] = l
 		}
 		r.current = append(r.current, l)
+		l.running, l.ranks = 0, 0
+		if g.Usable {
+			l.running, l.ranks = g.Running, g.Ranks
+		}
 		changed = l.update(now, terms, *g) || changed
 	}
 	return changed
@@ -103,8 +108,12 @@
 // space returns the room for requests with the given targets in the groups last observed. The room of
 // requests that others go before is what stays in time also while the steps are longest, so that they
 // don't fill a group beyond what the others need then.
-func (r *room) space(terms engineTerms, groups []Group, aim, gap time.Duration, yields bool) space {
+func (r *room) space(now time.Time, terms engineTerms, groups []Group, aim, gap time.Duration, yields bool) space {
 	s := space{}
+	longest := 0.0
+	if yields {
+		longest = r.pauses.at(now)
+	}
 	usable := lo.CountBy(groups, func(g Group) bool { return g.Usable })
 	admitted := r.demand() * r.share / float64(max(usable, 1))
 	for i := range groups {
@@ -119,7 +128,7 @@
 		s.known = true
 		unevenness := l.unevenness
 		if yields {
-			unevenness = max(unevenness, l.longest.unevenness)
+			unevenness = max(unevenness, l.longest.unevenness, longest)
 		}
 		limit := groupLimit(terms, g, unevenness, aim, gap)
 		s.limit += limit
@@ -128,11 +137,20 @@
 		s.inflow += l.inflow
 		s.step = max(s.step, l.step)
 		s.crowded = s.crowded || isCrowded(g, l, aim, gap, yields)
+		step := terms.step(longest, float64(g.Running)/float64(g.Ranks))
+		s.crowded = s.crowded || longest > 0 && gap > 0 && float64(step) > crowdedStep*float64(gap)
 	}
 	s.life = terms.life(s.step)
 	return s
 }
 
+// perRank returns how many requests the usable groups run on each rank.
+func (r *room) perRank() float64 {
+	running := lo.SumBy(r.current, func(l *load) int { return l.running })
+	ranks := lo.SumBy(r.current, func(l *load) int { return l.ranks })
+	return float64(running) / float64(max(ranks, 1))
+}
+
 // isCrowded reports whether requests are late because of the number of them.
 func isCrowded(g *Group, l *load, aim, gap time.Duration, yields bool) bool {
 	step := l.usualStep
--- a/admit/shed.go
+++ b/admit/shed.go
@@ -70,7 +70,7 @@
 	if !s.room.observe(now, terms, groups) {
 		return
 	}
-	space := s.room.space(terms, groups, s.aim, s.turns.gap(now, maxRank, 0), false)
+	space := s.room.space(now, terms, groups, s.aim, s.turns.gap(now, maxRank, 0), false)
 	if space.known {
 		s.room.learn(now, space)
 	}
@@ -83,6 +83,17 @@
 	s.work.finished(class, lengthHint, answerTokens)
 }
 
+// Paused records a new longest pause of a stream whose group ran all the while; gap is the longest that its
+// caller accepts.
+func (s *Shedder) Paused(now time.Time, engine *plan.Engine, pause, gap time.Duration) {
+	if !usableEngine(engine) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.room.pauses.add(now, s.terms(engine), pause, gap, s.room.perRank())
+}
+
 // Decide admits or refuses a request. The groups are all those with a recent status; if none of them
 // is usable, it admits all requests and leaves them to the caller.
 func (s *Shedder) Decide(now time.Time, engine *plan.Engine, groups []Group, d Demand) Decision {
@@ -130,7 +141,7 @@
 	gap := s.turns.gap(now, rank, d.Gap)
 	highest, _ := s.turns.ranksInUse(now)
 	if rank <= highest {
-		space := s.room.space(terms, groups, d.Aim, gap, false)
+		space := s.room.space(now, terms, groups, d.Aim, gap, false)
 		return fit{
 			space: space,
 			share: s.share(now, space),
@@ -138,9 +149,9 @@
 	}
 	first := 1.0
 	if !s.ranked {
-		first = s.share(now, s.room.space(terms, groups, d.Aim, gap, false))
+		first = s.share(now, s.room.space(now, terms, groups, d.Aim, gap, false))
 	}
-	space := s.room.space(terms, groups, d.Aim, gap, true)
+	space := s.room.space(now, terms, groups, d.Aim, gap, true)
 	return fit{
 		space:  space,
 		share:  min(first, s.share(now, space)),
