--- a/admit/flood_sim_test.go
+++ b/admit/flood_sim_test.go
@@ -19,6 +19,9 @@
 	name func(Demand) string
 	back map[int][]Demand
 	ends map[string]*outcome
+	// step is called after each tick, begun for each admitted request.
+	step  func()
+	begun func(d Demand)
 }
 
 // newFlood returns a fleet before two groups that finish about 230 requests a second.
@@ -28,8 +31,10 @@
 			&streams{ranks: 32, stepMs: evenStep(2), events: 23},
 			&streams{ranks: 32, stepMs: evenStep(2), events: 23},
 		),
-		back: make(map[int][]Demand),
-		ends: make(map[string]*outcome),
+		back:  make(map[int][]Demand),
+		ends:  make(map[string]*outcome),
+		step:  func() {},
+		begun: func(Demand) {},
 	}
 	for i := range f.entries {
 		f.entries[i] = shedder(f.random.Float64)
@@ -40,6 +45,7 @@
 // offer offers requests at the given rate; a refused one comes back once.
 func (f *flood) offer(duration time.Duration, perSecond float64) {
 	f.fleet.run(duration, 0, func() {
+		f.step()
 		statuses := make([]Group, len(f.groups))
 		for i, g := range f.groups {
 			statuses[i] = g.status(string(rune('a' + i)))
@@ -72,6 +78,7 @@
 		return
 	}
 	o.admitted++
+	f.begun(d)
 	g := f.pick()
 	if g.step <= d.Gap && g.wait() <= d.Aim {
 		o.timely++
--- a/admit/pauses.go
+++ b/admit/pauses.go
@@ -14,6 +14,9 @@
 	// pauseWitness is the time between two pauses of which the shorter one counts: one stream alone may be
 	// delayed on its way.
 	pauseWitness = time.Second
+	// pauseMemory is the time constant in which a pause is forgotten, longer than demand for the same experts
+	// usually lasts.
+	pauseMemory = time.Minute
 )
 
 // pauses are the longest steps, as streams have shown them. The mean step time of a status hides a single
@@ -31,13 +34,7 @@
 	if running <= 0 || float64(pause) < pauseShare*float64(gap) || pause > maxPauseShare*gap {
 		return
 	}
-	seen := min(pause, p.last)
-	hasWitness := now.Sub(p.lastAt) < pauseWitness
-	p.last, p.lastAt = pause, now
-	if !hasWitness {
-		return
-	}
-	unevenness := terms.unevenness(seen, running)
+	unevenness := terms.unevenness(pause, running)
 	if unevenness > p.at(now) {
 		p.unevenness, p.learnedAt = unevenness, now
 	}
@@ -45,5 +42,5 @@
 
 // at returns the unevenness that the longest steps are expected to have, less as time goes on.
 func (p *pauses) at(now time.Time) float64 {
-	return p.unevenness * math.Exp(-now.Sub(p.learnedAt).Seconds()/longestMemory.Seconds())
+	return p.unevenness * math.Exp(-now.Sub(p.learnedAt).Seconds()/pauseMemory.Seconds())
 }
--- a/admit/room.go
+++ b/admit/room.go
@@ -138,7 +138,7 @@
 		s.step = max(s.step, l.step)
 		s.crowded = s.crowded || isCrowded(g, l, aim, gap, yields)
 		step := terms.step(longest, float64(g.Running)/float64(g.Ranks))
-		s.crowded = s.crowded || longest > 0 && gap > 0 && float64(step) > crowdedStep*float64(gap)
+		s.crowded = s.crowded || longest > 0 && gap > 0 && float64(step) > gapShare*float64(gap)
 	}
 	s.life = terms.life(s.step)
 	return s
--- a/admit/shed.go
+++ b/admit/shed.go
@@ -155,7 +155,7 @@
 	return fit{
 		space:  space,
 		share:  min(first, s.share(now, space)),
-		least:  starvationShare * first,
+		least:  s.turns.least(now, rank) * first,
 		yields: true,
 	}
 }
@@ -172,6 +172,7 @@
 }
 
 func (s *Shedder) admit(now time.Time, d Demand, reason string) Decision {
+	s.turns.taken++
 	return Decision{
 		Admit:   true,
 		Reason:  reason,
--- a/admit/turn.go
+++ b/admit/turn.go
@@ -41,6 +41,11 @@
 	updatedAt time.Time
 	counts    [places]float64
 	usedAt    [maxRank + 1]time.Time
+	// usual is the traffic of each rank, asked and taken the recent numbers of
+	// requests of all ranks and of those that were admitted.
+	usual [maxRank + 1]usual
+	asked float64
+	taken float64
 	// gaps are the shortest pauses that requests have allowed lately, the last of them at gapAt.
 	gaps  [maxRank + 1]time.Duration
 	gapAt [maxRank + 1]time.Time
@@ -53,8 +58,12 @@
 		for i := range t.counts {
 			t.counts[i] *= decay
 		}
+		t.asked *= decay
+		t.taken *= decay
 		t.updatedAt = now
 	}
+	t.asked++
+	t.usual[rank].add(now)
 	t.counts[place(rank, turn)]++
 	if gap > 0 && (t.gaps[rank] == 0 || gap <= t.gaps[rank] || now.Sub(t.gapAt[rank]) > accountHalfLife) {
 		t.gaps[rank] = gap
@@ -97,6 +106,16 @@
 	return floor + (1-floor)*min(left/need, 1)
 }
 
+// least returns the least probability of a rank that others go before: half as often as the whole, and for
+// its usual traffic half as often as those.
+func (t *turns) least(now time.Time, rank int) float64 {
+	whole := 1.0
+	if t.asked > 0 {
+		whole = t.taken / t.asked
+	}
+	return starvationShare * max(whole, t.usual[rank].share(now))
+}
+
 // floorOf returns the least probability of a place.
 func floorOf(place int, share float64) float64 {
 	if turnOf(place%int(turnsPerRank)) == turnExcess {
--- /dev/null
+++ b/admit/urgent_sim_test.go
@@ -0,0 +1,139 @@
+package admit
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+const (
+	// turnTicks is the number of ticks between two changes of the experts in demand, longTicks that for which the
+	// steps are long then, and meanTicks that over which a status averages the steps.
+	turnTicks = 320
+	longTicks = 20
+	meanTicks = 50
+)
+
+// turning is a flood before groups whose steps are long for a moment whenever other experts are in demand. The
+// mean of a status hides that moment; streams show it to the entries that carry them.
+type turning struct {
+	*flood
+	weights []float64
+	steps   []time.Duration
+	// began are the ticks at which requests of the first rank were admitted.
+	began []int
+	heldAt []int
+}
+
+func newTurning(entries int) *turning {
+	t := &turning{
+		flood: newFlood(entries, NewRanked),
+	}
+	for _, g := range t.groups {
+		g.stepMs = func(n float64) float64 {
+			if t.ticks%turnTicks >= turnTicks-longTicks {
+				return evenStep(3)(n)
+			}
+			return evenStep(1)(n)
+		}
+	}
+	t.name = func(d Demand) string { return fmt.Sprint(d.ClassRank) }
+	t.next = func() Demand {
+		total := 0.0
+		for _, w := range t.weights {
+			total += w
+		}
+		at, rank := t.random.Float64()*total, 0
+		for ; at > t.weights[rank]; rank++ {
+			at -= t.weights[rank]
+		}
+		return demand(rank, string(rune('A'+t.random.IntN(24))))
+	}
+	t.begun = func(d Demand) {
+		if d.ClassRank == 0 {
+			t.began = append(t.began, t.ticks)
+		}
+	}
+	t.step = t.observe
+	return t
+}
+
+// observe averages the steps of the last status, and lets each stream tell its entry of a long step at its end.
+func (t *turning) observe() {
+	longest := time.Duration(0)
+	for _, g := range t.groups {
+		longest = max(longest, g.step)
+	}
+	t.heldAt = append(t.heldAt, t.held())
+	t.steps = append(t.steps, longest)
+	last := t.steps[max(len(t.steps)-meanTicks, 0):]
+	mean := time.Duration(0)
+	for _, step := range last {
+		mean += step / time.Duration(len(last))
+	}
+	for _, g := range t.groups {
+		g.history[len(g.history)-1].StepTime = mean
+		if t.ticks%turnTicks != turnTicks-1 {
+			continue
+		}
+		for range g.left {
+			t.entries[t.random.IntN(len(t.entries))].Paused(t.now, t.engine, g.step, testGap)
+		}
+	}
+}
+
+// timely returns the share of the requests of the first rank, admitted since the given tick, without a step that
+// was too long.
+func (t *turning) timely(since int) float64 {
+	n, timely := 0.0, 0.0
+	for _, tick := range t.began {
+		if tick < since {
+			continue
+		}
+		n++
+		life := int(23 * t.steps[tick-1] / (10 * time.Millisecond))
+		if slices.Max(t.steps[tick-1:min(tick+life, len(t.steps))]) <= testGap {
+			timely++
+		}
+	}
+	return timely / n
+}
+
+// Load: the least urgent of three classes has four times its traffic for 20 s, while steps are long for 0.2 s of
+// every 3.2 s. The most urgent class has 0.95 of its requests within its aims, and no class is served less than
+// half as often as the whole.
+func TestUrgentClassKeepsItsAimInAFlood(t *testing.T) {
+	for _, entries := range []int{9, 41, 99, 432} {
+		t.Run(fmt.Sprintf("%d entries", entries), func(t *testing.T) {
+			f := newTurning(entries)
+			f.weights = []float64{81, 107, 36}
+			f.offer(30*time.Second, 224)
+			clear(f.ends)
+			since := f.ticks
+			f.weights = []float64{81, 107, 144}
+			f.offer(20*time.Second, 332)
+			all, n, shares := 0.0, 0.0, make([]float64, 3)
+			for rank := range shares {
+				o := f.ends[fmt.Sprint(rank)]
+				shares[rank] = o.admitted / o.ended
+				all += o.admitted
+				n += o.ended
+			}
+			for k := since; k < f.ticks; k += 100 {
+				m, held, a := f.steps[k:k+100], 0, 0
+				for _, x := range f.began { if x >= k && x < k+100 { a++ } }
+				for _, g := range f.groups { held += len(g.left)+g.queue }
+				t.Log(k-since, slices.Max(m), a, f.heldAt[k-1], f.heldAt[k+99])
+			}
+			timely := f.timely(since) * shares[0]
+			t.Logf("in time %.3f of the first rank; served %.3f by rank, %.3f of all", timely, shares, all/n)
+			if timely < 0.95 {
+				t.Errorf("%.3f of the first rank in time", timely)
+			}
+			if slices.Min(shares) < all/n/2 {
+				t.Errorf("served %.3f by rank, %.3f of all", shares, all/n)
+			}
+		})
+	}
+}
