--- a/admit/shed.go
+++ b/admit/shed.go
@@ -111,6 +111,9 @@
 	turn := s.turn(now, engine, f.space, f.share, &d)
 	s.turns.add(now, rank, turn, d.Gap)
 	s.aim = d.Aim
+	if turn == turnExcess && f.precedes {
+		f.least = max(f.least, starvationShare*s.turns.whole())
+	}
 	switch {
 	case !f.space.known:
 		return s.admit(now, d, ReasonUnknown)
@@ -132,19 +135,21 @@
 	// share is the share of requests to be admitted, least the probability that this kind has at least.
 	share float64
 	least float64
-	// yields is set if others go before.
-	yields bool
+	// yields is set if others go before, precedes if others go after.
+	yields   bool
+	precedes bool
 }
 
 func (s *Shedder) fit(now time.Time, terms engineTerms, groups []Group, d *Demand) fit {
 	rank := d.rank()
 	gap := s.turns.gap(now, rank, d.Gap)
-	highest, _ := s.turns.ranksInUse(now)
+	highest, lowest := s.turns.ranksInUse(now)
 	if rank <= highest {
 		space := s.room.space(now, terms, groups, d.Aim, gap, false)
 		return fit{
-			space: space,
-			share: s.share(now, space),
+			space:    space,
+			share:    s.share(now, space),
+			precedes: rank < lowest,
 		}
 	}
 	first := 1.0
@@ -153,10 +158,11 @@
 	}
 	space := s.room.space(now, terms, groups, d.Aim, gap, true)
 	return fit{
-		space:  space,
-		share:  min(first, s.share(now, space)),
-		least:  s.turns.least(now, rank) * first,
-		yields: true,
+		space:    space,
+		share:    min(first, s.share(now, space)),
+		least:    s.turns.least(now, rank) * first,
+		yields:   true,
+		precedes: rank < lowest,
 	}
 }
 
--- a/admit/turn.go
+++ b/admit/turn.go
@@ -109,11 +109,15 @@
 // least returns the least probability of a rank that others go before: half as often as the whole, and for
 // its usual traffic half as often as those.
 func (t *turns) least(now time.Time, rank int) float64 {
-	whole := 1.0
-	if t.asked > 0 {
-		whole = t.taken / t.asked
+	return starvationShare * max(t.whole(), t.usual[rank].share(now))
+}
+
+// whole returns the share of all recent requests that was admitted.
+func (t *turns) whole() float64 {
+	if t.asked <= 0 {
+		return 1
 	}
-	return starvationShare * max(whole, t.usual[rank].share(now))
+	return t.taken / t.asked
 }
 
 // floorOf returns the least probability of a place.
--- a/admit/urgent_sim_test.go
+++ b/admit/urgent_sim_test.go
@@ -23,7 +23,6 @@
 	steps   []time.Duration
 	// began are the ticks at which requests of the first rank were admitted.
 	began []int
-	heldAt []int
 }
 
 func newTurning(entries int) *turning {
@@ -65,7 +64,6 @@
 	for _, g := range t.groups {
 		longest = max(longest, g.step)
 	}
-	t.heldAt = append(t.heldAt, t.held())
 	t.steps = append(t.steps, longest)
 	last := t.steps[max(len(t.steps)-meanTicks, 0):]
 	mean := time.Duration(0)
@@ -120,12 +118,6 @@
 				all += o.admitted
 				n += o.ended
 			}
-			for k := since; k < f.ticks; k += 100 {
-				m, held, a := f.steps[k:k+100], 0, 0
-				for _, x := range f.began { if x >= k && x < k+100 { a++ } }
-				for _, g := range f.groups { held += len(g.left)+g.queue }
-				t.Log(k-since, slices.Max(m), a, f.heldAt[k-1], f.heldAt[k+99])
-			}
 			timely := f.timely(since) * shares[0]
 			t.Logf("in time %.3f of the first rank; served %.3f by rank, %.3f of all", timely, shares, all/n)
 			if timely < 0.95 {
