--- a/admit/room.go
+++ b/admit/room.go
@@ -136,14 +136,18 @@
 		s.outflow += l.outflow
 		s.inflow += l.inflow
 		s.step = max(s.step, l.step)
-		s.crowded = s.crowded || isCrowded(g, l, aim, gap, yields)
-		step := terms.step(longest, float64(g.Running)/float64(g.Ranks))
-		s.crowded = s.crowded || longest > 0 && gap > 0 && float64(step) > gapShare*float64(gap)
+		s.crowded = s.crowded || isCrowded(g, l, aim, gap, yields) || isNearLongest(terms, g, longest, gap)
 	}
 	s.life = terms.life(s.step)
 	return s
 }
 
+// isNearLongest reports whether the next long step of the given unevenness would be too long.
+func isNearLongest(terms engineTerms, g *Group, unevenness float64, gap time.Duration) bool {
+	step := terms.step(unevenness, float64(g.Running)/float64(g.Ranks))
+	return unevenness > 0 && gap > 0 && float64(step) > gapShare*float64(gap)
+}
+
 // perRank returns how many requests the usable groups run on each rank.
 func (r *room) perRank() float64 {
 	running := lo.SumBy(r.current, func(l *load) int { return l.running })
--- a/admit/turn.go
+++ b/admit/turn.go
@@ -6,8 +6,11 @@
 )
 
 const (
-	// maxRank is the lowest priority that is told apart.
-	maxRank = 7
+	// maxAccountRank is the lowest priority of accounts that is told apart, classRanks the number of priorities
+	// of routes within each, and maxRank the lowest of both together.
+	maxAccountRank = 7
+	classRanks     = 4
+	maxRank        = (maxAccountRank+1)*classRanks - 1
 	// starvationShare is the share of the mean admission that each kind of request has at least.
 	starvationShare = 0.5
 	// turnHalfLife is the half-life of the recent numbers of requests by place.
