--- a/admit/pauses.go
+++ b/admit/pauses.go
@@ -7,7 +7,7 @@
 
 const (
 	// pauseShare is the share of the permitted pause from which a pause of a stream is recorded.
-	pauseShare = 0.5
+	pauseShare = 0.75
 	// maxPauseShare is the multiple of the permitted pause from which a pause is a stall, which less load
 	// doesn't prevent.
 	maxPauseShare = 2
