--- a/admit/pauses.go
+++ b/admit/pauses.go
@@ -11,6 +11,9 @@
 	// maxPauseShare is the multiple of the permitted pause from which a pause is a stall, which less load
 	// doesn't prevent.
 	maxPauseShare = 2
+	// pauseSlots is the share of the slots that have to run for a pause to be recorded. With fewer requests,
+	// single ranks that run more than the others look like unevenness.
+	pauseSlots = 0.4
 	// pauseMemory is the time constant in which a pause is forgotten: longer than the experts in demand
 	// usually stay the same, so that the next change finds room.
 	pauseMemory = time.Minute
@@ -26,7 +29,7 @@
 
 // add records a pause of a stream while each rank of the usable groups ran the given number of requests.
 func (p *pauses) add(now time.Time, terms engineTerms, pause, gap time.Duration, running float64) {
-	if running <= 0 || float64(pause) < pauseShare*float64(gap) || pause > maxPauseShare*gap {
+	if running < pauseSlots*float64(terms.slots) || float64(pause) < pauseShare*float64(gap) || pause > maxPauseShare*gap {
 		return
 	}
 	unevenness := terms.unevenness(pause, running)
