--- a/admit/room.go
+++ b/admit/room.go
@@ -29,6 +29,10 @@
 	// maxWait the share of the aim that a request may wait in a queue; the rest is for reading its prompt.
 	crowdedStep = 0.95
 	maxWait     = 0.5
+	// crowdedLong is the share of the permitted pause that the next long step may be expected to take before
+	// groups are crowded for requests that others go before, and nearShare that from which they then stay so.
+	crowdedLong = 0.9
+	nearShare   = 0.75
 	// crowdedTime is how long groups count as crowded after they were.
 	crowdedTime = time.Second
 	// maxStatusAge is the age from which a status tells no more what a group holds: twice as long as an
@@ -50,8 +54,10 @@
 	inflow      float64
 	inflowShare float64
 	updatedAt   time.Time
-	// crowdedAt is when groups were last seen to be crowded.
+	// crowdedAt is when groups were last seen to be crowded, yieldedAt the same for requests that others go
+	// before.
 	crowdedAt time.Time
+	yieldedAt time.Time
 	pauses    pauses
 }
 
@@ -71,6 +77,8 @@
 	// crowded reports whether the steps of a group were longer than permitted for a while, or a request
 	// would wait so long in its queue that it couldn't begin in time.
 	crowded bool
+	// near reports whether the next long step will be nearly too long.
+	near bool
 }
 
 // observe records the statuses of the groups and reports whether one of them is new.
@@ -136,18 +144,17 @@
 		s.outflow += l.outflow
 		s.inflow += l.inflow
 		s.step = max(s.step, l.step)
-		s.crowded = s.crowded || isCrowded(g, l, aim, gap, yields) || isNearLongest(terms, g, longest, gap)
+		s.crowded = s.crowded || isCrowded(g, l, aim, gap, yields)
+		if longest > 0 && gap > 0 {
+			next := terms.step(longest, float64(g.Running)/float64(g.Ranks)).Seconds() / gap.Seconds()
+			s.crowded = s.crowded || next > crowdedLong
+			s.near = s.near || next > nearShare
+		}
 	}
 	s.life = terms.life(s.step)
 	return s
 }
 
-// isNearLongest reports whether the next long step of the given unevenness would be too long.
-func isNearLongest(terms engineTerms, g *Group, unevenness float64, gap time.Duration) bool {
-	step := terms.step(unevenness, float64(g.Running)/float64(g.Ranks))
-	return unevenness > 0 && gap > 0 && float64(step) > gapShare*float64(gap)
-}
-
 // perRank returns how many requests the usable groups run on each rank.
 func (r *room) perRank() float64 {
 	running := lo.SumBy(r.current, func(l *load) int { return l.running })
@@ -199,6 +206,19 @@
 	return r.admitted(s)
 }
 
+// admittedBehind returns the same for requests that others go before. Once they are refused,
+// they are as long as the next long step will be nearly too long.
+func (r *room) admittedBehind(now time.Time, s space) float64 {
+	wasCrowded := now.Sub(r.yieldedAt) <= crowdedTime
+	if s.crowded || wasCrowded && s.near {
+		r.yieldedAt = now
+	}
+	if now.Sub(r.yieldedAt) > crowdedTime {
+		return 1
+	}
+	return r.admitted(s)
+}
+
 // admitted returns the share of requests to be admitted: as many as finish, and as many more or less
 // as the groups lack or exceed.
 func (r *room) admitted(s space) float64 {
--- a/admit/shed.go
+++ b/admit/shed.go
@@ -160,7 +160,7 @@
 		first = s.share(now, s.room.space(now, terms, groups, d.Aim, gap, false))
 	}
 	space := s.room.space(now, terms, groups, d.Aim, gap, true)
-	share := s.share(now, space)
+	share := s.shareBehind(now, space)
 	if rank < lowest {
 		share = max(share, precedingShare)
 	}
@@ -184,6 +184,17 @@
 	return s.room.admitted(space)
 }
 
+// shareBehind returns the same for requests that others go before.
+func (s *Shedder) shareBehind(now time.Time, space space) float64 {
+	switch {
+	case !space.known:
+		return 1
+	case s.ranked:
+		return s.room.admittedBehind(now, space)
+	}
+	return s.room.admitted(space)
+}
+
 func (s *Shedder) admit(now time.Time, d Demand, reason string) Decision {
 	s.turns.taken++
 	return Decision{
