--- a/admit/load.go
+++ b/admit/load.go
@@ -48,6 +48,8 @@
 	Name string
 	// Usable reports whether the group is neither stalled nor closed.
 	Usable bool
+	// Slow reports whether an instance of the group is slower than usual.
+	Slow bool
 	// Ranks is the number of instances of the group.
 	Ranks int
 	// Running and Waiting are the numbers of requests in the batches and the queues of all ranks.
--- a/admit/room.go
+++ b/admit/room.go
@@ -100,6 +100,10 @@
 		if g.Usable {
 			l.running, l.ranks = g.Running, g.Ranks
 		}
+		if g.Usable && g.Slow {
+			// A slow instance makes all steps longer, whatever runs.
+			r.pauses = pauses{}
+		}
 		changed = l.update(now, terms, *g) || changed
 	}
 	return changed
--- a/admit/urgent_sim_test.go
+++ b/admit/urgent_sim_test.go
@@ -163,3 +163,23 @@
 		}
 	}
 }
+
+// Load: pauses of 1.5 times what callers accept, because an instance is slow. They say nothing of the load: once its
+// group is well, requests of the second rank are admitted at the usual load as if there had been none.
+func TestPausesOfSlowInstancesAreForgotten(t *testing.T) {
+	s := NewRanked(rand.New(rand.NewPCG(1, 1)).Float64)
+	now := time.Unix(1_000_000, 0)
+	for k := range 1000 {
+		now = now.Add(tick)
+		isSlow := k < 300
+		groups := []Group{{Name: "a", Usable: true, Slow: isSlow, Ranks: 32, Running: 200, StepTime: 75 * time.Millisecond}}
+		if isSlow {
+			s.Paused(now, testEngine(), testGap*3/2, testGap)
+		}
+		s.Observe(now, testEngine(), groups)
+		first, second := s.Decide(now, testEngine(), groups, demand(0, "a")), s.Decide(now, testEngine(), groups, demand(1, "a"))
+		if !first.Admit || !second.Admit {
+			t.Fatalf("refused at %v: %v, %v", now.Sub(time.Unix(1_000_000, 0)), first, second)
+		}
+	}
+}
--- a/gate/room.go
+++ b/gate/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"slices"
 	"sync"
 	"time"
 
@@ -131,6 +132,7 @@
 		out = append(out, admit.Group{
 			Name:     name,
 			Usable:   s.IsUsable(gap),
+			Slow:     isAnySlow(s.Ranks),
 			Ranks:    len(s.Ranks),
 			Running:  s.Running(),
 			Waiting:  s.Waiting(),
@@ -141,6 +143,11 @@
 	return out
 }
 
+// isAnySlow reports whether one of the ranks is slower than usual.
+func isAnySlow(ranks []loads.Rank) bool {
+	return slices.ContainsFunc(ranks, func(r loads.Rank) bool { return r.Pace > 1 })
+}
+
 // observeRoom records the present statuses of the groups of all services with engines.
 func (g *Gate) observeRoom() {
 	snap := g.view.Now()
