--- a/admit/flood_sim_test.go
+++ b/admit/flood_sim_test.go
@@ -126,6 +126,7 @@
 func TestOtherAccountsLoseNothingToALargeOne(t *testing.T) {
 	for _, entries := range []int{9, 41, 99, 432} {
 		t.Run(fmt.Sprintf("%d entries", entries), func(t *testing.T) {
+			t.Parallel()
 			if lost := lossToLargeAccount(t, newFlood(entries, NewRanked)); lost >= 0.02 {
 				t.Errorf("other accounts lost %.3f", lost)
 			}
@@ -137,6 +138,7 @@
 func TestOtherAccountsLoseNothingWhereAllAreRefused(t *testing.T) {
 	for _, entries := range []int{9, 41, 99, 432} {
 		t.Run(fmt.Sprintf("%d entries", entries), func(t *testing.T) {
+			t.Parallel()
 			if lost := lossToLargeAccount(t, newFlood(entries, New)); lost >= 0.02 {
 				t.Errorf("other accounts lost %.3f", lost)
 			}
@@ -187,6 +189,7 @@
 	for _, tt := range tests {
 		for _, entries := range []int{9, 41, 99, 432} {
 			t.Run(fmt.Sprintf("%s, %d entries", tt.name, entries), func(t *testing.T) {
+				t.Parallel()
 				f := newFlood(entries, NewRanked)
 				f.name = func(d Demand) string { return fmt.Sprint(d.Account, d.LengthHint) }
 				f.next = func() Demand { return tt.kind(f, false) }
--- a/admit/urgent_sim_test.go
+++ b/admit/urgent_sim_test.go
@@ -114,6 +114,7 @@
 	for _, hasAccountRanks := range []bool{false, true} {
 		for _, entries := range []int{9, 41, 99, 432} {
 			t.Run(fmt.Sprintf("%d entries, account ranks %v", entries, hasAccountRanks), func(t *testing.T) {
+				t.Parallel()
 				f := newTurning(entries)
 				f.hasAccountRanks = hasAccountRanks
 				f.weights = []float64{81, 107, 36}
