Tell callers refused as groups close to come back after the outage

What callers saw: refused by an instance whose group was about to close, they were told to come back within 0.2 to 0.4 s, and were refused there for good. Cause: the time that applies in an outage was told only if the entry found all groups closed before it sent the request. Engines refuse before agents see that the group is closed. TestCallerRefusedAsGroupsCloseReturnsAfterOutage told 58 ms and 85 ms before. Why it works: a refusal looks at the groups again; closed ones, and those without a step for a second, count as an outage.

--- a/gate/closed_test.go
+++ b/gate/closed_test.go
@@ -45,3 +45,38 @@
 		}
 	}
 }
+
+// TestCallerRefusedAsGroupsCloseReturnsAfterOutage guards against callers that an instance refuses while its
+// group is about to close, and that come back within a few hundred milliseconds only to be refused for good.
+// Callers have eight seconds, and honor a third of them.
+func TestCallerRefusedAsGroupsCloseReturnsAfterOutage(t *testing.T) {
+	tests := []struct {
+		name    string
+		stalled time.Duration
+		open    bool
+		others  bool
+		least   time.Duration
+	}{
+		{name: "closed since the request was sent", least: 2 * time.Second},
+		{name: "stalled, not seen to be closed yet", stalled: 1400 * time.Millisecond, open: true, least: 2 * time.Second},
+		{name: "stalled for a moment", stalled: 400 * time.Millisecond, open: true},
+		{name: "another group is open", others: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := requestAmongGroups()
+			r.deadline = r.g.clock.Now().Add(8 * time.Second)
+			for name, s := range r.g.groups.Recent() {
+				if tt.others && name == "group-3" {
+					continue
+				}
+				s.Open, s.StalledFor = tt.open, tt.stalled
+				r.g.groups.Update(s.Group)
+			}
+			after := r.retryAfter(0)
+			if after < tt.least || tt.least == 0 && after > time.Second {
+				t.Errorf("told to come back after %s, want at least %s", after, tt.least)
+			}
+		})
+	}
+}
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -146,7 +146,7 @@
 		TargetLatency: r.route.Aim,
 		Remaining:     r.deadline.Sub(now),
 		AvailableIn:   wait,
-		Unavailable:   r.closed || r.g.health.isUnavailable(r.service.Name, now),
+		Unavailable:   r.closed || r.areGroupsDown() || r.g.health.isUnavailable(r.service.Name, now),
 	}, r.g.randomIntN)
 }
 
--- a/gate/groups.go
+++ b/gate/groups.go
@@ -21,6 +21,9 @@
 	// probeShare is the share of picks that may take a stalled group without requests, which makes no
 	// step that would show that it goes on again.
 	probeShare = 0.03
+	// downAfter is the time without a step from which a group counts as down. Slow ranks and the long
+	// steps of a full group end before.
+	downAfter = time.Second
 )
 
 // groupPicks counts the picks among instances whose groups have a recent status and among others.
@@ -97,6 +100,17 @@
 	return len(conditions) > 0
 }
 
+// areGroupsDown reports whether all groups of the service are known to be closed, or to be about to close:
+// engines refuse requests before agents see that the group is closed.
+func (r *request) areGroupsDown() bool {
+	known := r.g.groups.Membership(startsOf(r.g.view.Now().Usable(r.service.Name)))
+	if lo.SomeBy(known.Members, func(m loads.Member) bool { return m.Group < 0 }) {
+		return false
+	}
+	up := lo.SomeBy(known.Groups, func(s loads.Status) bool { return s.Open && s.StalledFor < downAfter })
+	return len(known.Groups) > 0 && !up
+}
+
 // isAvoided reports whether an instance gets requests only if there is none in a usable group.
 func (c *condition) isAvoided(isProbe bool) bool {
 	mayProbe := isProbe && c.open && c.idle
