Estimate when a closed group opens, and tell entries

What callers saw: entries knew that a group was closed, not for how long, and sent callers away for a third of their time, whether the group opened in half a second or in half a minute. Cause: nothing in the product knew which ranks were missing, since when, or how long a group takes to form. The leader counts ranks as missing that are silent for 0.5 s and tells all ranks; each agent learns absences and forming times, and its status carries the basis and the time that is expected. Why it works: forming is the platform's and nearly constant, and counts from when the last engine could be read again, so that a new leader that hears ranks late learns the same time. Absent fields mean unknown.

--- a/group/agent.go
+++ b/group/agent.go
@@ -68,6 +68,9 @@
 	mu     sync.Mutex
 	report Report
 	known  bool
+	// unreadableSince is when the engine could not be read any more, readableSince when it could again.
+	unreadableSince time.Time
+	readableSince   time.Time
 	// seen is what is known of the whole group.
 	seen sight
 	// slow is set while the engine's pace is slowLogPace or more.
@@ -106,10 +109,12 @@
 		Clock:        clock,
 		Log:          log,
 		leaderSeenAt: clock.Now(),
-		links:        make(map[*wire.Link]bool),
-		inFlight:     make(map[shift.Order]bool),
-		preparing:    shift.None,
-		publisher:    newPublisher(log),
+
+		unreadableSince: clock.Now(),
+		links:           make(map[*wire.Link]bool),
+		inFlight:        make(map[shift.Order]bool),
+		preparing:       shift.None,
+		publisher:       newPublisher(log),
 	}
 }
 
@@ -146,8 +151,7 @@
 	fence := a.guard.Fence
 	a.orderMu.Unlock()
 	if err != nil {
-		a.markUnreadable(err)
-		return false
+		return a.markUnreadable(err)
 	}
 	a.mu.Lock()
 	a.fence = max(a.fence, fence)
@@ -203,13 +207,17 @@
 	return done, err
 }
 
-func (a *Agent) markUnreadable(err error) {
+// markUnreadable records that the engine can't be read, and reports whether it may be back at any moment.
+func (a *Agent) markUnreadable(err error) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	now := a.Clock.Now()
 	if a.known {
 		a.Log.Warn("cannot read the engine's state", "error", err)
+		a.unreadableSince = now
 	}
 	a.known = false
+	return now.Sub(a.unreadableSince) < openingExpected
 }
 
 // storeReport stores a report and reports whether the group has requests.
@@ -223,9 +231,15 @@
 		a.slow = slow
 		a.Log.Info("engine pace changed", "slow", slow, "pace", rep.Pace, "step", rep.Step)
 	}
+	now := a.Clock.Now()
+	if !a.known {
+		a.readableSince = now
+	}
 	a.report = rep
 	a.known = true
-	return a.seen.observe(a.Clock.Now(), &rep)
+	busy := a.seen.observe(now, &rep)
+	a.watchOutage(now)
+	return busy || a.seen.isOpeningExpected()
 }
 
 // Report returns the newest state read; known is false while the engine cannot be read.
--- a/group/condition.go
+++ b/group/condition.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"geraniumpass/loads"
+	"geraniumpass/outage"
 )
 
 // stalledAfter is the time without a step from which a group counts as stalled: above the hold of a map
@@ -17,6 +18,8 @@
 	epoch   int64
 	open    bool
 	stalled bool
+	// basis is what the expected opening is based on.
+	basis outage.Basis
 	// slow lists the slow ranks in ascending order.
 	slow []int
 }
@@ -27,6 +30,7 @@
 		epoch:   g.Epoch,
 		open:    g.Open,
 		stalled: g.StalledFor >= stalledAfter,
+		basis:   g.Opening.Basis,
 	}
 	for r := range g.Ranks {
 		if g.Ranks[r].Pace > normalPace {
@@ -38,7 +42,7 @@
 
 func (c condition) equals(other condition) bool {
 	return c.group == other.group && c.epoch == other.epoch && c.open == other.open &&
-		c.stalled == other.stalled && slices.Equal(c.slow, other.slow)
+		c.stalled == other.stalled && c.basis == other.basis && slices.Equal(c.slow, other.slow)
 }
 
 // isBusy reports whether a group has requests or has made steps lately.
--- a/group/lead.go
+++ b/group/lead.go
@@ -148,7 +148,7 @@
 		paces:         slices.Repeat([]float64{normalPace}, rep.Size),
 		starts:        make([]core.Start, rep.Size),
 		slow:          newSlowRankWriter(m.Store, m.SlowPrefix+rep.Group, m.Log),
-		loads:         newRankLoads(rep.Size),
+		loads:         newRankLoads(m.Clock.Now(), rep.Size),
 		sent:          make([]shift.Order, rep.Size),
 		sentAt:        make([]time.Time, rep.Size),
 		seqs:          make([]uint64, rep.Size),
--- a/group/links.go
+++ b/group/links.go
@@ -116,10 +116,11 @@
 	}
 }
 
-// sendHeartbeats sends a heartbeat to all connected ranks once heartbeatInterval has passed.
+// sendHeartbeats sends a heartbeat to all connected ranks once heartbeatInterval has passed or another
+// number of ranks is missing.
 func (d *leadership) sendHeartbeats() {
 	now := d.m.Clock.Now()
-	if now.Sub(d.heartbeatAt) < heartbeatInterval {
+	if now.Sub(d.heartbeatAt) < heartbeatInterval && !d.loads.isMissingChanged(now) {
 		return
 	}
 	d.heartbeatAt = now
--- a/group/loads.go
+++ b/group/loads.go
@@ -5,6 +5,7 @@
 
 	"geraniumpass/core"
 	"geraniumpass/loads"
+	"geraniumpass/outage"
 	"geraniumpass/proto"
 	"geraniumpass/wire"
 )
@@ -12,6 +13,10 @@
 // loadTTL is how long a load is used after its rank or the leader was last heard.
 const loadTTL = time.Second
 
+// missingAfter is the time after which a rank that isn't heard counts as missing: two reads of an idle
+// engine.
+const missingAfter = 2 * idlePollInterval
+
 // rankLoads is what a leader knows of the loads of all ranks and sends to them.
 type rankLoads struct {
 	ranks []loads.Rank
@@ -23,10 +28,18 @@
 	// full and bare are the messages with and without the incarnations.
 	full *proto.RankLoads
 	bare *proto.RankLoads
+	// createdAt is when the leader's term began, and missing the number of missing ranks last sent.
+	createdAt time.Time
+	missing   int
+	// backAt is when the last rank that was missing was back.
+	backAt time.Time
 }
 
-func newRankLoads(size int) *rankLoads {
+func newRankLoads(now time.Time, size int) *rankLoads {
 	return &rankLoads{
+		createdAt: now,
+		missing:   outage.MissingUnknown,
+
 		ranks:   make([]loads.Rank, size),
 		heardAt: make([]time.Time, size),
 		version: 1,
@@ -42,9 +55,29 @@
 	}
 	t.ranks[r].Running = state.Running
 	t.ranks[r].Waiting = state.Waiting
+	if now.Sub(t.heardAt[r]) >= missingAfter {
+		if back := t.returnedAt(now, r, state); back.After(t.backAt) {
+			t.backAt = back
+		}
+	}
 	t.heardAt[r] = now
 }
 
+// returnedAt returns when a rank was back that is heard for the first time or after a silence: since its
+// engine can be read if that began meanwhile, and just now if the rank was cut off. What a new leader hears
+// first may have been there all along.
+func (t *rankLoads) returnedAt(now time.Time, r int, state *proto.GroupRank) time.Time {
+	readable := now.Add(-time.Duration(state.ReadableMs) * time.Millisecond)
+	silentSince, isNew := t.heardAt[r], false
+	if silentSince.IsZero() {
+		silentSince, isNew = t.createdAt, now.Sub(t.createdAt) < newLeaderGrace
+	}
+	if isNew || readable.After(silentSince) {
+		return readable
+	}
+	return now
+}
+
 // update prepares the messages. paces holds the paces of the ranks that count as slow and normalPace
 // for the others.
 func (t *rankLoads) update(now time.Time, reported, paces []float64) {
@@ -58,6 +91,34 @@
 	}
 	t.full = loads.EncodeRanks(t.ranks, t.version, true)
 	t.bare = loads.EncodeRanks(t.ranks, t.version, false)
+	t.missing = t.countMissing(now)
+	if missing := t.missing; missing != outage.MissingUnknown {
+		t.full.Missing, t.bare.Missing = &missing, &missing
+	}
+	if t.missing == 0 {
+		t.full.BackMs = now.Sub(t.backAt).Milliseconds()
+		t.bare.BackMs = t.full.BackMs
+	}
+}
+
+// isMissingChanged reports whether the number of missing ranks has changed since the last update.
+func (t *rankLoads) isMissingChanged(now time.Time) bool {
+	return t.countMissing(now) != t.missing
+}
+
+// countMissing returns the number of ranks that were not heard for missingAfter, which is unknown until a
+// new leader has had the time to hear them.
+func (t *rankLoads) countMissing(now time.Time) int {
+	missing := 0
+	for r := range t.heardAt {
+		if now.Sub(t.heardAt[r]) >= missingAfter {
+			missing++
+		}
+	}
+	if missing > 0 && now.Sub(t.createdAt) < newLeaderGrace {
+		return outage.MissingUnknown
+	}
+	return missing
 }
 
 func paceToSend(reported, pace float64) float64 {
--- a/group/loads_test.go
+++ b/group/loads_test.go
@@ -14,7 +14,7 @@
 func TestStartsAreSentOnceALink(t *testing.T) {
 	now := time.Unix(1_000, 0)
 	ones := []float64{1, 1}
-	k := newRankLoads(2)
+	k := newRankLoads(now, 2)
 	a, b := &wire.Link{}, &wire.Link{}
 	send := func(l *wire.Link) bool {
 		k.update(now, ones, ones)
@@ -53,7 +53,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			now := time.Unix(1_000, 0)
-			k := newRankLoads(3)
+			k := newRankLoads(now, 3)
 			k.observe(now, 0, core.Start{}, &proto.GroupRank{Running: 3, Waiting: 9})
 			now = now.Add(loadTTL)
 			k.observe(now, 1, core.Start{}, &proto.GroupRank{Running: tt.others})
@@ -66,3 +66,45 @@
 		})
 	}
 }
+
+// TestReturnOfRanks guards against a forming time that counts from before the ranks were back, or from when a
+// new leader heard of it, so that callers are told times that are off by seconds.
+func TestReturnOfRanks(t *testing.T) {
+	begin := time.Unix(1_000, 0)
+	tests := []struct {
+		name string
+		// heard is when rank 1 was last heard before, zero if never, and back when it is heard again.
+		heard    time.Duration
+		back     time.Duration
+		readable time.Duration
+		want     time.Duration
+	}{
+		{"cut off, new leader", 0, 5 * time.Second, time.Hour, 0},
+		{"cut off", 2 * time.Second, 5 * time.Second, time.Hour, 0},
+		{"restarted", 2 * time.Second, 5 * time.Second, 60 * time.Millisecond, 60 * time.Millisecond},
+		{"restarted, new leader", 0, 5 * time.Second, 60 * time.Millisecond, 60 * time.Millisecond},
+		{"there before the leader", 0, 200 * time.Millisecond, 700 * time.Millisecond, 700 * time.Millisecond},
+		{"an older build", 2 * time.Second, 5 * time.Second, 0, 0},
+	}
+	ones := []float64{1, 1}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			k := newRankLoads(begin, 2)
+			if tt.heard > 0 {
+				k.observe(begin.Add(tt.heard), 1, core.Start{}, &proto.GroupRank{})
+			}
+			now := begin
+			for ; now.Sub(begin) < tt.back; now = now.Add(heartbeatInterval) {
+				k.observe(now, 0, core.Start{}, &proto.GroupRank{ReadableMs: time.Hour.Milliseconds()})
+			}
+			if k.countMissing(now) == 0 {
+				t.Fatal("a silent rank doesn't count as missing")
+			}
+			k.observe(now, 1, core.Start{}, &proto.GroupRank{ReadableMs: tt.readable.Milliseconds()})
+			k.update(now, ones, ones)
+			if got := time.Duration(k.bare.BackMs) * time.Millisecond; k.bare.Missing == nil || *k.bare.Missing != 0 || got != tt.want {
+				t.Errorf("ranks are back for %s, want %s", got, tt.want)
+			}
+		})
+	}
+}
--- a/group/publish_test.go
+++ b/group/publish_test.go
@@ -157,8 +157,8 @@
 func startLeader(t *testing.T, address string) *wire.Link {
 	t.Helper()
 	l := dialAgent(t, address, wire.RoleAgent)
-	known := newRankLoads(2)
 	now := time.Now()
+	known := newRankLoads(now, 2)
 	known.observe(now, 0, core.Start{ID: "i-0", StartedAt: 1}, &proto.GroupRank{Running: 6})
 	known.observe(now, 1, core.Start{ID: "i-1", StartedAt: 1}, &proto.GroupRank{})
 	known.update(now, []float64{1, 1}, []float64{1, 1})
--- a/group/serve.go
+++ b/group/serve.go
@@ -46,6 +46,7 @@
 		Pace:        rep.Pace,
 		Running:     rep.Running,
 		Waiting:     rep.Waiting,
+		ReadableMs:  a.Clock.Since(a.readableSince).Milliseconds(),
 	}
 }
 
@@ -99,5 +100,6 @@
 	defer a.mu.Unlock()
 	if a.leader == l && o.Group == a.report.Group && len(ranks) == a.report.Size {
 		a.seen.setRanks(a.Clock.Now(), ranks)
+		a.seen.setMissing(a.Clock.Now(), loads.MissingRanks(o.Loads), loads.BackFor(o.Loads))
 	}
 }
--- a/group/sight.go
+++ b/group/sight.go
@@ -6,8 +6,13 @@
 
 	"geraniumpass/core"
 	"geraniumpass/loads"
+	"geraniumpass/outage"
 )
 
+// openingExpected is how long a closed group is read as often as a busy one. Groups that are closed for
+// longer may never open.
+const openingExpected = 30 * time.Second
+
 // sight is what an agent knows of its whole group: the condition, by its own engine, and the loads of
 // all ranks, by the leader. The zero value knows nothing.
 type sight struct {
@@ -16,6 +21,11 @@
 	// ranks is empty until a leader of this epoch sent the loads, at ranksAt.
 	ranks   []loads.Rank
 	ranksAt time.Time
+	// missing is the number of ranks that the leader told to be missing at missingAt.
+	missing   int
+	missingAt time.Time
+	backAt    time.Time
+	outage    outage.Estimator
 	// startsVersion rises when the incarnations of the ranks change.
 	startsVersion int64
 }
@@ -26,6 +36,9 @@
 	if rep.Group != s.own.Group || rep.Epoch != s.own.Epoch {
 		s.ranks = nil
 	}
+	if rep.Group != s.own.Group {
+		s.outage = outage.Estimator{}
+	}
 	s.own = *rep
 	othersBusy := s.areOthersBusy(now)
 	s.tracker.Observe(now, loads.Observation{
@@ -56,6 +69,32 @@
 	return len(s.ranks) > 0 && now.Sub(s.ranksAt) < loadTTL
 }
 
+// setMissing takes the number of missing ranks that the leader told, and since when none is.
+func (s *sight) setMissing(now time.Time, missing int, backFor time.Duration) {
+	if missing != outage.MissingUnknown {
+		s.missing, s.missingAt, s.backAt = missing, now, now.Add(-backFor)
+	}
+}
+
+// observeOutage takes the present condition of the group and returns the outage if one has just ended.
+func (s *sight) observeOutage(now time.Time) (ended outage.Outage, ok bool) {
+	missing := outage.MissingUnknown
+	if now.Sub(s.missingAt) < loadTTL {
+		missing = s.missing
+	}
+	return s.outage.Observe(now, outage.Observation{
+		Open:    s.own.Open,
+		Missing: missing,
+		BackFor: now.Sub(s.backAt),
+	})
+}
+
+// isOpeningExpected reports whether the group is closed and may open at any moment.
+func (s *sight) isOpeningExpected() bool {
+	closedFor := s.tracker.ClosedFor()
+	return s.own.Group != "" && closedFor > 0 && closedFor < openingExpected
+}
+
 // setRanks takes the loads that the leader sent. A leader that has not heard a rank yet doesn't know
 // its incarnation, which is then kept.
 func (s *sight) setRanks(now time.Time, ranks []loads.Rank) {
@@ -80,6 +119,7 @@
 		return loads.Group{}, false
 	}
 	g = s.tracker.Group()
+	g.Opening = s.outage.Estimate(now)
 	if s.areRanksRecent(now) {
 		g.Ranks = s.withOwn()
 		g.RanksAge = now.Sub(s.ranksAt)
--- a/loads/decode.go
+++ b/loads/decode.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"geraniumpass/core"
+	"geraniumpass/outage"
 	"geraniumpass/proto"
 )
 
@@ -32,6 +33,7 @@
 		StepTime:   time.Duration(m.StepMs * float64(time.Millisecond)),
 		StalledFor: time.Duration(m.StalledMs) * time.Millisecond,
 		RanksAge:   time.Duration(m.RanksAgeMs) * time.Millisecond,
+		Opening:    openingOf(m),
 	}
 	if m.Ranks == nil {
 		return g, nil
@@ -74,6 +76,36 @@
 	return ranks, nil
 }
 
+// openingOf returns when the group is expected to open. A basis of a newer build counts as none.
+func openingOf(m *proto.GroupLoad) outage.Estimate {
+	e := outage.Estimate{
+		Basis:   outage.Basis(m.OpeningBasis),
+		Missing: m.Missing,
+		OpensIn: time.Duration(m.OpensInMs) * time.Millisecond,
+	}
+	if m.Open || !e.Basis.IsValid() {
+		return outage.Estimate{}
+	}
+	return e
+}
+
+// MissingRanks returns the number of ranks that the sender doesn't hear, outage.MissingUnknown if the
+// message doesn't tell it or tells more than there are.
+func MissingRanks(m *proto.RankLoads) int {
+	if m.Missing == nil || *m.Missing < 0 || *m.Missing > len(m.Running) {
+		return outage.MissingUnknown
+	}
+	return *m.Missing
+}
+
+// BackFor returns how long ago the last missing rank was back, zero if the message doesn't tell it.
+func BackFor(m *proto.RankLoads) time.Duration {
+	if !isTime(m.BackMs) {
+		return 0
+	}
+	return time.Duration(m.BackMs) * time.Millisecond
+}
+
 func checkGroup(m *proto.GroupLoad) error {
 	switch {
 	case m.Group == "":
@@ -84,6 +116,8 @@
 		return &MessageError{Field: "stalled"}
 	case !isTime(m.RanksAgeMs):
 		return &MessageError{Field: "ranks age"}
+	case !isTime(m.OpensInMs) || m.Missing < 0:
+		return &MessageError{Field: "opening"}
 	case !(m.StepMs >= 0 && m.StepMs < float64(maxMilliseconds)):
 		return &MessageError{Field: "step time"}
 	}
--- a/loads/decode_test.go
+++ b/loads/decode_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"geraniumpass/core"
+	"geraniumpass/outage"
 	"geraniumpass/proto"
 )
 
@@ -84,6 +85,9 @@
 		{"negative stall", func(m *proto.GroupLoad) { m.StalledMs = -1 }},
 		{"overflowing stall", func(m *proto.GroupLoad) { m.StalledMs = math.MaxInt64 }},
 		{"negative closed time", func(m *proto.GroupLoad) { m.ClosedMs = -1 }},
+		{"negative time to the opening", func(m *proto.GroupLoad) { m.OpensInMs = -1 }},
+		{"overflowing time to the opening", func(m *proto.GroupLoad) { m.OpensInMs = math.MaxInt64 }},
+		{"negative missing ranks", func(m *proto.GroupLoad) { m.Missing = -1 }},
 		{"negative age", func(m *proto.GroupLoad) { m.RanksAgeMs = -1 }},
 		{"step time not a number", func(m *proto.GroupLoad) { m.StepMs = math.NaN() }},
 		{"infinite step time", func(m *proto.GroupLoad) { m.StepMs = math.Inf(1) }},
@@ -110,6 +114,44 @@
 	}
 }
 
+// TestOpeningOverLink guards against callers that are told times by a status that has none: one of an older
+// build, of a newer build with another basis, or of an open group.
+func TestOpeningOverLink(t *testing.T) {
+	forming := outage.Estimate{Basis: outage.BasisForming, OpensIn: 400 * time.Millisecond}
+	missing := outage.Estimate{Basis: outage.BasisMissing, Missing: 11, OpensIn: 3 * time.Second}
+	tests := []struct {
+		name string
+		open bool
+		sent outage.Estimate
+		want outage.Estimate
+	}{
+		{"forming", false, forming, forming},
+		{"ranks missing", false, missing, missing},
+		{"older build", false, outage.Estimate{}, outage.Estimate{}},
+		{"basis of a newer build", false, outage.Estimate{Basis: 77, OpensIn: time.Second}, outage.Estimate{}},
+		{"open", true, forming, outage.Estimate{}},
+	}
+	for _, tt := range tests {
+		var d Decoder
+		got, err := d.Decode(overLink(t, Encode(&Group{Name: "g", Open: tt.open, Opening: tt.sent}, 1, false)))
+		if err != nil || got.Opening != tt.want {
+			t.Errorf("%s: got %+v, %v, want %+v", tt.name, got.Opening, err, tt.want)
+		}
+	}
+}
+
+// TestMissingRanksAreBounded guards against an agent that takes nonsense of a leader for an outage.
+func TestMissingRanksAreBounded(t *testing.T) {
+	for _, missing := range []int{-1, 3} {
+		if got := MissingRanks(&proto.RankLoads{Running: []byte{1, 2}, Missing: &missing}); got != outage.MissingUnknown {
+			t.Errorf("%d of 2 ranks missing counts as %d, want unknown", missing, got)
+		}
+	}
+	if got := MissingRanks(&proto.RankLoads{Running: []byte{1, 2}}); got != outage.MissingUnknown {
+		t.Errorf("an older leader's message counts as %d ranks missing, want unknown", got)
+	}
+}
+
 // TestCountsBeyondAByteAreCapped guards against a rank with 256 requests that looks idle.
 func TestCountsBeyondAByteAreCapped(t *testing.T) {
 	m := EncodeRanks([]Rank{{Running: 256, Waiting: 1000, Pace: 1}}, 1, false)
--- a/loads/encode.go
+++ b/loads/encode.go
@@ -24,6 +24,10 @@
 		ClosedMs:  g.ClosedFor.Milliseconds(),
 		StepMs:    float64(g.StepTime) / float64(time.Millisecond),
 		StalledMs: g.StalledFor.Milliseconds(),
+
+		OpeningBasis: uint8(g.Opening.Basis),
+		OpensInMs:    g.Opening.OpensIn.Milliseconds(),
+		Missing:      g.Opening.Missing,
 	}
 	if len(g.Ranks) > 0 {
 		m.Ranks = EncodeRanks(g.Ranks, startsVersion, withStarts)
--- a/loads/group.go
+++ b/loads/group.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"geraniumpass/core"
+	"geraniumpass/outage"
 )
 
 // Rank is the load of one rank of a group as its agent last reported it to the group's leader.
@@ -26,6 +27,8 @@
 	Open bool
 	// ClosedFor is how long the group has been closed, zero if it is open.
 	ClosedFor time.Duration
+	// Opening is when a closed group is expected to open.
+	Opening outage.Estimate
 	// StepTime is the mean duration of the last few steps, zero while unknown.
 	StepTime time.Duration
 	// StalledFor is the time since the last step began if requests are running, zero if none are.
--- a/proto/group.go
+++ b/proto/group.go
@@ -39,6 +39,8 @@
 	// Running and Waiting are the requests in the engine's batch and queue.
 	Running int `cbor:"29,keyasint,omitempty"`
 	Waiting int `cbor:"30,keyasint,omitempty"`
+	// ReadableMs is how long the engine has been readable, in milliseconds.
+	ReadableMs int64 `cbor:"31,keyasint,omitempty"`
 }
 
 // GroupOrder is an order from a group's leader to the agent beside a rank.
--- a/proto/load.go
+++ b/proto/load.go
@@ -20,6 +20,12 @@
 	Ranks *RankLoads `cbor:"7,keyasint,omitempty"`
 	// RanksAgeMs is how old Ranks is, in milliseconds.
 	RanksAgeMs int64 `cbor:"8,keyasint,omitempty"`
+	// OpeningBasis is what the expected opening of a closed group is based on, zero if nothing is
+	// expected; OpensInMs is the time until then in milliseconds, and Missing the number of ranks that
+	// are not heard.
+	OpeningBasis uint8 `cbor:"9,keyasint,omitempty"`
+	OpensInMs    int64 `cbor:"10,keyasint,omitempty"`
+	Missing      int   `cbor:"11,keyasint,omitempty"`
 }
 
 // RankLoads is the load of all ranks of a group. The leader sends it to the agents with its heartbeats,
@@ -35,4 +41,8 @@
 	// the same link until it changes; StartsVersion is that of the present one.
 	Starts        []core.Start `cbor:"4,keyasint,omitempty"`
 	StartsVersion int64        `cbor:"5,keyasint"`
+	// Missing is the number of ranks that the leader doesn't hear, absent while it doesn't know.
+	Missing *int `cbor:"6,keyasint,omitempty"`
+	// BackMs is the time since the last missing rank was back, in milliseconds; zero if Missing isn't.
+	BackMs int64 `cbor:"7,keyasint,omitempty"`
 }
