Know the group of a restarted instance before it is listed anew

What callers saw: after all processes had restarted, requests went to instances of closed groups and were refused for good, although agents had told that the groups were closed. Cause: statuses name ranks by incarnation. The leader took those of its last list, up to three seconds old, and an entry's own list was older than the leader's, so that the names didn't match. TestRestartedRankIsNamedByItsStart and TestRestartedInstanceKeepsItsGroup. Why it works: the leader names a rank by the start that its engine reports where lists have starts; an entry takes the group of an instance's newest incarnation for one that no status names. Loads stay by incarnation.

--- a/group/lead.go
+++ b/group/lead.go
@@ -225,7 +225,7 @@
 	}
 	d.known[r] = true
 	d.reportedPaces[r] = paceOf(rank)
-	d.starts[r] = d.instances[e.address]
+	d.starts[r] = startOf(d.instances[e.address], rank)
 	d.loads.observe(d.m.Clock.Now(), r, d.starts[r], rank)
 	if chosen := unpackCounts(rank); len(chosen) > 0 {
 		d.demand.Observe(d.m.Clock.Now(), chosen, rank.CountUnit)
@@ -255,6 +255,15 @@
 	return false
 }
 
+// startOf returns the incarnation of a rank, given the one listed last. An engine that restarted reports its
+// start before the new one is listed. Where lists name no starts, neither does the leader.
+func startOf(listed core.Start, rank *proto.GroupRank) core.Start {
+	if listed.StartedAt > 0 && rank.EngineStart > listed.StartedAt {
+		listed.StartedAt = rank.EngineStart
+	}
+	return listed
+}
+
 func stateOf(r *proto.GroupRank) shift.State {
 	return shift.State{
 		EngineStart: r.EngineStart,
--- a/group/loads_test.go
+++ b/group/loads_test.go
@@ -67,6 +67,30 @@
 	}
 }
 
+// TestRestartedRankIsNamedByItsStart guards against entries that know no group of an instance that restarted,
+// and send it requests while its group is closed, until the leader lists the instances again.
+func TestRestartedRankIsNamedByItsStart(t *testing.T) {
+	listed := core.Start{ID: "i-0", StartedAt: 100}
+	tests := []struct {
+		name   string
+		listed core.Start
+		engine int64
+		want   core.Start
+	}{
+		{"the listed one", listed, 100, listed},
+		{"restarted", listed, 200, core.Start{ID: "i-0", StartedAt: 200}},
+		{"a late report of the one before", listed, 50, listed},
+		{"an older build, which reports no start", listed, 0, listed},
+		{"not listed", core.Start{}, 200, core.Start{}},
+		{"listed without a start", core.Start{ID: "i-0"}, 200, core.Start{ID: "i-0"}},
+	}
+	for _, tt := range tests {
+		if got := startOf(tt.listed, &proto.GroupRank{EngineStart: tt.engine}); got != tt.want {
+			t.Errorf("%s: got %+v, want %+v", tt.name, got, tt.want)
+		}
+	}
+}
+
 // TestReturnOfRanks guards against a forming time that counts from before the ranks were back, or from when a
 // new leader heard of it, so that callers are told times that are off by seconds.
 func TestReturnOfRanks(t *testing.T) {
--- a/loads/board.go
+++ b/loads/board.go
@@ -28,6 +28,8 @@
 	mu      sync.Mutex
 	byName  map[string]*posted
 	placeOf map[core.Start]place
+	// newest is the incarnation of each instance that a status named last.
+	newest map[string]core.Start
 	// changed is closed and replaced at each update.
 	changed chan struct{}
 }
@@ -49,6 +51,7 @@
 		clock:   clock,
 		byName:  make(map[string]*posted),
 		placeOf: make(map[core.Start]place),
+		newest:  make(map[string]core.Start),
 		changed: make(chan struct{}),
 	}
 }
@@ -82,6 +85,7 @@
 				group: g.Name,
 				rank:  i,
 			}
+			b.newest[start.ID] = start
 		}
 	}
 	close(b.changed)
@@ -129,6 +133,23 @@
 	}, true
 }
 
+// forget forgets an incarnation.
+func (b *Board) forget(start core.Start) {
+	delete(b.placeOf, start)
+	if b.newest[start.ID] == start {
+		delete(b.newest, start.ID)
+	}
+}
+
+// placeOfAny returns the place of an incarnation, or that of the one of the same instance that a status
+// named last: statuses name a restarted instance before it is listed. The mutex is held.
+func (b *Board) placeOfAny(start core.Start) place {
+	if at, ok := b.placeOf[start]; ok {
+		return at
+	}
+	return b.placeOf[b.newest[start.ID]]
+}
+
 // Sweep forgets the incarnations for which keep returns false, and groups without any.
 func (b *Board) Sweep(keep func(start core.Start) bool) {
 	b.mu.Lock()
@@ -136,7 +157,7 @@
 	used := make(map[string]bool)
 	for start, at := range b.placeOf {
 		if !keep(start) {
-			delete(b.placeOf, start)
+			b.forget(start)
 			continue
 		}
 		used[at.group] = true
--- a/loads/board_test.go
+++ b/loads/board_test.go
@@ -119,3 +119,22 @@
 		t.Errorf("the age of the ranks is %v and that of the status %v", s.RanksAge, s.Age)
 	}
 }
+
+// TestRestartedInstanceKeepsItsGroup guards against an entry that sends requests to a closed group because its
+// instances have restarted, and are listed with their starts of before.
+func TestRestartedInstanceKeepsItsGroup(t *testing.T) {
+	b := NewBoard(clockwork.NewFakeClock())
+	listed, restarted := core.Start{ID: "i-0", StartedAt: 100}, core.Start{ID: "i-0", StartedAt: 200}
+	b.Update(Group{Name: "g", Ranks: []Rank{{Start: restarted}}})
+	known := b.Membership([]core.Start{listed, {ID: "i-1"}})
+	if m := known.Members[0]; m.Group < 0 || known.Groups[m.Group].Name != "g" || m.Rank >= 0 {
+		t.Errorf("the restarted instance is %+v, want a member of g without a rank", m)
+	}
+	if m := known.Members[1]; m.Group >= 0 {
+		t.Errorf("an instance that no status names is %+v, want none", m)
+	}
+	b.Sweep(func(core.Start) bool { return false })
+	if m := b.Membership([]core.Start{listed}).Members[0]; m.Group >= 0 {
+		t.Errorf("after a sweep the instance is %+v, want none", m)
+	}
+}
--- a/loads/membership.go
+++ b/loads/membership.go
@@ -36,7 +36,7 @@
 	now := b.clock.Now()
 	indexOf := make(map[string]int, len(b.byName))
 	for i, start := range starts {
-		at := b.placeOf[start]
+		at := b.placeOfAny(start)
 		index, ok := indexOf[at.group]
 		if !ok {
 			index = out.add(b.byName[at.group], now)
