Keep dialing ranks that are not listed while they are cut off

What callers saw: after a failure domain was cut off, entries learned only from the opening itself that its ranks were back. Cause: a leader elected during the cut lists the instances again every three seconds, drops those that have lapsed, and doesn't dial them until the next list; an attempt from before the end of a silent cut held the address for five seconds. Why it works: addresses are kept for 30 s after they were last listed, and attempts end after 0.4 s, as those of feeds do.

--- a/group/lead.go
+++ b/group/lead.go
@@ -23,6 +23,12 @@
 	// instances are listed again while a rank is unconnected.
 	dialInterval = 250 * time.Millisecond
 	listInterval = 3 * time.Second
+	// rankDialTimeout bounds the opening of a link. Links to ranks that were cut off must not wait for
+	// an attempt from before the end of the cut.
+	rankDialTimeout = 400 * time.Millisecond
+	// unlistedTTL is how long an instance that is not listed any more is still dialed: one that was cut
+	// off is back before it is listed again.
+	unlistedTTL = 30 * time.Second
 	// foreignTTL is how long an address that belongs to another group is not dialed again; groups
 	// re-form only after a crash.
 	foreignTTL = 5 * time.Second
@@ -121,7 +127,8 @@
 	askedAt      time.Time
 	askNotBefore time.Time
 
-	addresses   []string
+	// addresses holds when the address of each agent was last listed.
+	addresses   map[string]time.Time
 	listedAt    time.Time
 	dialedAt    time.Time
 	heartbeatAt time.Time
@@ -141,6 +148,8 @@
 		events:        make(chan event, eventQueueSize),
 		links:         make([]*wire.Link, rep.Size),
 		dialed:        make(map[string]bool),
+		addresses:     make(map[string]time.Time),
+		instances:     make(map[string]core.Start),
 		rankOf:        make(map[*wire.Link]int),
 		foreignSince:  make(map[string]time.Time),
 		known:         make([]bool, rep.Size),
--- a/group/links.go
+++ b/group/links.go
@@ -26,7 +26,7 @@
 		d.listedAt = now
 		d.listInstances(ctx)
 	}
-	for _, address := range d.addresses {
+	for address := range d.addresses {
 		if d.dialed[address] || now.Sub(d.foreignSince[address]) < foreignTTL {
 			continue
 		}
@@ -47,15 +47,20 @@
 			d.engine = s.Engine
 		}
 	}
-	d.addresses = d.addresses[:0]
-	d.instances = make(map[string]core.Start, len(c.Put))
+	now := d.m.Clock.Now()
 	for _, in := range c.Put {
 		if in.Service == d.m.Service {
 			address := d.agentOf(in)
-			d.addresses = append(d.addresses, address)
+			d.addresses[address] = now
 			d.instances[address] = in.Start()
 		}
 	}
+	for address, listedAt := range d.addresses {
+		if now.Sub(listedAt) >= unlistedTTL && !d.dialed[address] {
+			delete(d.addresses, address)
+			delete(d.instances, address)
+		}
+	}
 }
 
 // agentOf returns the address of the agent beside an instance.
@@ -69,7 +74,7 @@
 }
 
 func (d *leadership) dial(ctx context.Context, address string) {
-	l, err := wire.Dial(address, d.m.Own, d.m.Key)
+	l, err := wire.DialTimeout(rankDialTimeout, address, d.m.Own, d.m.Key)
 	if err != nil {
 		d.m.Log.Debug("cannot connect to agent", "address", address, "error", err)
 		d.post(ctx, event{address: address})
