See an outage although the group of a rank is unknown

What callers saw: while a group formed, requests were sent to its closed instances and refused for good; an entry that had just started told callers to come back within 0.4 s to groups that were closed. Cause: groups counted as closed only if that was known of each instance. A rank that is back has an incarnation that no status names yet, and one of 16 was enough; a started entry knows none. TestUnknownRankDoesNotHideOutage, TestRefusedAtStartReturnsAfterOutage. Why it works: unknown instances count as ranks of the closed groups if they are fewer than a group has; after a refusal without an answer for a second, callers are told the time of an outage.

--- a/gate/closed_test.go
+++ b/gate/closed_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"geraniumpass/loads"
+	"geraniumpass/plan"
 )
 
 // TestCallerIsNotSentAwayForAnOutageWhileAGroupIsOpen guards against callers that are told to come back as
@@ -37,6 +38,33 @@
 	}
 }
 
+// TestUnknownRankDoesNotHideOutage guards against requests that are sent to a closed group because one of its
+// ranks is back and not known yet, and against callers that are refused while a whole group is unknown.
+func TestUnknownRankDoesNotHideOutage(t *testing.T) {
+	closed := condition{known: true, size: 4}
+	open := condition{known: true, size: 4, open: true}
+	var unknown condition
+	tests := []struct {
+		name       string
+		conditions []condition
+		want       bool
+	}{
+		{"all closed", []condition{closed, closed, closed, closed}, true},
+		{"one rank unknown", []condition{closed, closed, closed, unknown}, true},
+		{"a group unknown", []condition{closed, closed, closed, closed, unknown, unknown, unknown, unknown}, false},
+		{"a group open", []condition{closed, closed, unknown, open}, false},
+		{"nothing known", []condition{unknown}, false},
+		{"closed, ranks never told", []condition{{known: true}, {known: true}}, true},
+		{"closed, ranks never told, one unknown", []condition{{known: true}, unknown}, false},
+		{"no instance", nil, false},
+	}
+	for _, tt := range tests {
+		if got := areAllClosed(tt.conditions); got != tt.want {
+			t.Errorf("%s: all closed: %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
 // restWhereOpen lets all instances of an open group rest.
 func restWhereOpen(r *request, s *loads.Status, now time.Time) {
 	for i := range s.Ranks {
@@ -80,3 +108,35 @@
 		})
 	}
 }
+
+// TestRefusedAtStartReturnsAfterOutage guards against callers that an entry sends back within a few hundred
+// milliseconds because it has just started and knows no group, while the instance that refused is closed.
+func TestRefusedAtStartReturnsAfterOutage(t *testing.T) {
+	tests := []struct {
+		name     string
+		sends    int
+		answered bool
+		sets     int
+		isOutage bool
+	}{
+		{"refused, nothing answered yet", 1, false, 12, true},
+		{"refused, others are answered", 1, true, 12, false},
+		{"not sent", 0, false, 12, false},
+		{"instances without groups", 1, false, 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := requestAmongGroups()
+			r.g.groups = loads.NewBoard(r.g.clock)
+			r.deadline = r.g.clock.Now().Add(8 * time.Second)
+			r.sends = tt.sends
+			r.service.Engine = &plan.Engine{Sets: tt.sets}
+			if tt.answered {
+				r.g.health.recordAnswer(r.service.Name, r.g.clock.Now())
+			}
+			if after := r.retryAfter(0); (after >= 2*time.Second) != tt.isOutage {
+				t.Errorf("told to come back after %s, as after an outage: want %v", after, tt.isOutage)
+			}
+		})
+	}
+}
--- a/gate/groups.go
+++ b/gate/groups.go
@@ -26,6 +26,9 @@
 	downAfter = time.Second
 )
 
+// noSize is the size of the smallest group while no group is known.
+const noSize = -1
+
 // groupPicks counts the picks among instances whose groups have a recent status and among others.
 var groupPicks = expvar.NewMap("group_picks")
 
@@ -35,6 +38,8 @@
 	known  bool
 	open   bool
 	usable bool
+	// size is the number of ranks of the group, zero while unknown.
+	size int
 	// idle is set if no rank of the group is known to have requests.
 	idle bool
 	// hasLoad is set if the rank's load is recent; load is the requests in its batch and queue as of
@@ -73,6 +78,7 @@
 		known:  true,
 		open:   s.Open,
 		usable: s.IsUsable(gap),
+		size:   len(s.Ranks),
 		idle:   s.Running()+s.Waiting() == 0,
 	}
 }
@@ -90,25 +96,44 @@
 	c.pace = r.Pace
 }
 
-// areAllClosed reports whether every instance is known to belong to a closed group.
+// areAllClosed reports whether every instance belongs to a closed group. Instances whose group is not known
+// count as ranks that are about to be back if they are too few for a group of their own.
 func areAllClosed(conditions []condition) bool {
+	unknown, size := 0, noSize
 	for i := range conditions {
-		if !conditions[i].known || conditions[i].open {
+		c := &conditions[i]
+		switch {
+		case !c.known:
+			unknown++
+		case c.open:
 			return false
+		case size == noSize || c.size < size:
+			size = c.size
 		}
 	}
-	return len(conditions) > 0
+	return size != noSize && unknown < max(size, 1)
 }
 
 // areGroupsDown reports whether all groups of the service are known to be closed, or to be about to close:
 // engines refuse requests before agents see that the group is closed.
 func (r *request) areGroupsDown() bool {
 	known := r.g.groups.Membership(startsOf(r.g.view.Now().Usable(r.service.Name)))
-	if lo.SomeBy(known.Members, func(m loads.Member) bool { return m.Group < 0 }) {
+	if lo.SomeBy(known.Groups, func(s loads.Status) bool { return s.Open && s.StalledFor < downAfter }) {
 		return false
 	}
-	up := lo.SomeBy(known.Groups, func(s loads.Status) bool { return s.Open && s.StalledFor < downAfter })
-	return len(known.Groups) > 0 && !up
+	if lo.EveryBy(known.Members, func(m loads.Member) bool { return m.Group >= 0 }) {
+		return len(known.Groups) > 0
+	}
+	return r.isRefusedWithoutAnswers()
+}
+
+// isRefusedWithoutAnswers reports whether an instance with a group refused the request and no other answers.
+// An entry that has just started doesn't know the groups of instances, and groups without a leader are known
+// by their conditions alone.
+func (r *request) isRefusedWithoutAnswers() bool {
+	e := r.service.Engine
+	since := r.g.clock.Now().Add(-downAfter)
+	return r.sends > 0 && e != nil && e.Sets > 0 && r.g.health.answeredAfter(r.service.Name, since) < 0
 }
 
 // isAvoided reports whether an instance gets requests only if there is none in a usable group.
