Tell callers when a closed group opens, and let last attempts wait for it

What callers saw: refused while a group formed, they came back 2.2 to 2.6 s later; those that had come back then already were refused for good, up to the moment of the opening. Cause: entries told a third of the remaining time, whatever was known of the group. Now: while ranks are missing the latest time that callers honor, without a part cut off at random; while the group forms the opening, 150 ms and a turn drawn over the time in which its ranks begin what is due. A caller that was refused before waits at the entry once the ranks are back: a second at most, less if its answer could not begin before it leaves, 64 at an entry, and not once a rank is missing again.

--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -67,6 +67,9 @@
 			return r.failCrashing()
 		}
 		in, ok := r.pick()
+		if !ok && r.awaitOpening() {
+			continue
+		}
 		if !ok {
 			break
 		}
@@ -141,6 +144,9 @@
 // retryAfter returns the Retry-After of a rejected caller; wait is how long every instance stays
 // blocked.
 func (r *request) retryAfter(wait time.Duration) time.Duration {
+	if after := r.returnAfterOutage(); after > 0 {
+		return after
+	}
 	now := r.g.clock.Now()
 	return retry.Backoff(retry.Rejection{
 		TargetLatency: r.route.Aim,
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -72,6 +72,7 @@
 	groups           *loads.Board
 	shedders         *shedders
 	departures       *departures
+	openings         *openings
 	retryBudget      *retry.WindowBudget
 	meter            *meter.Meter
 
@@ -130,6 +131,7 @@
 		leavingInstances: leaving,
 		groups:           groups,
 		departures:       newDepartures(),
+		openings:         newOpenings(),
 		retryBudget:      retry.NewWindowBudget(opts.Allowance, opts.Started),
 		meter:            m,
 		preferred:        preferredCache{entryName: opts.Name},
--- /dev/null
+++ b/gate/opening_test.go
@@ -0,0 +1,94 @@
+package gate
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"geraniumpass/outage"
+)
+
+// closeGroups closes all groups, which expect to open as estimated.
+func closeGroups(r *request, e outage.Estimate) {
+	for _, s := range r.g.groups.Recent() {
+		s.Open = false
+		s.Opening = e
+		r.g.groups.Update(s.Group)
+	}
+}
+
+// TestLastAttemptWaitsForOpening guards against callers that are refused for good just before a group opens,
+// and against requests that are held although nobody knows when it does, its ranks are gone again, or the
+// caller has left. The callers were refused two seconds before, and wait 1.5 s for the first event.
+func TestLastAttemptWaitsForOpening(t *testing.T) {
+	forming := outage.Estimate{Basis: outage.BasisForming, OpensIn: 400 * time.Millisecond}
+	open := func(r *request) {
+		s := r.g.groups.Recent()["group-2"]
+		s.Open = true
+		r.g.groups.Update(s.Group)
+	}
+	tests := []struct {
+		name  string
+		e     outage.Estimate
+		spent time.Duration
+		// meanwhile is what happens while the request waits, nil if it must not wait.
+		meanwhile func(r *request, leave context.CancelFunc)
+		want      bool
+	}{
+		{"the group opens", forming, 2 * time.Second, func(r *request, _ context.CancelFunc) { open(r) }, true},
+		{"ranks are back, the group opens", outage.Estimate{Basis: outage.BasisBack}, 2 * time.Second, func(r *request, _ context.CancelFunc) { open(r) }, true},
+		{"a rank is missing again", forming, 2 * time.Second, func(r *request, _ context.CancelFunc) {
+			closeGroups(r, outage.Estimate{Basis: outage.BasisMissing, Missing: 1})
+		}, false},
+		{"nothing is heard of the groups but that they are closed", forming, 2 * time.Second, func(r *request, _ context.CancelFunc) { closeGroups(r, outage.Estimate{}) }, false},
+		{"the caller leaves", forming, 2 * time.Second, func(_ *request, leave context.CancelFunc) { leave() }, false},
+		{"the first attempt", forming, 0, nil, false},
+		{"agents of an older build", outage.Estimate{}, 2 * time.Second, nil, false},
+		{"ranks are missing", outage.Estimate{Basis: outage.BasisMissing, Missing: 4, OpensIn: 300 * time.Millisecond}, 2 * time.Second, nil, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := requestAmongGroups()
+			clock := r.g.clock.(*clockwork.FakeClock)
+			ctx, leave := context.WithTimeout(context.Background(), 30*time.Second)
+			defer leave()
+			r.ctx, r.spentBefore = ctx, tt.spent
+			r.deadline = clock.Now().Add(5 * time.Second)
+			r.firstEventDeadline = clock.Now().Add(1500 * time.Millisecond)
+			closeGroups(r, tt.e)
+			r.closed = true
+			served := make(chan bool, 1)
+			go func() { served <- r.awaitOpening() }()
+			if tt.meanwhile != nil {
+				if err := clock.BlockUntilContext(ctx, 1); err != nil {
+					t.Fatal(err)
+				}
+				tt.meanwhile(r, leave)
+				clock.Advance(openingCheckInterval)
+			}
+			if got := advanceUntil(ctx, t, clock, served); got != tt.want {
+				t.Errorf("a group has opened: %v, want %v", got, tt.want)
+			}
+			if r.g.openings.waiting != 0 {
+				t.Errorf("%d requests still count as waiting", r.g.openings.waiting)
+			}
+		})
+	}
+}
+
+// advanceUntil lets time pass until the channel has a value, and returns it.
+func advanceUntil(ctx context.Context, t *testing.T, clock *clockwork.FakeClock, served <-chan bool) bool {
+	t.Helper()
+	for {
+		select {
+		case <-ctx.Done():
+			return <-served
+		case got := <-served:
+			return got
+		case <-time.After(time.Millisecond):
+			clock.Advance(openingCheckInterval)
+		}
+	}
+}
--- a/gate/request.go
+++ b/gate/request.go
@@ -7,6 +7,7 @@
 
 	"geraniumpass/core"
 	"geraniumpass/crash"
+	"geraniumpass/outage"
 	"geraniumpass/plan"
 	"geraniumpass/view"
 )
@@ -63,6 +64,10 @@
 	hashed bool
 	// closed is set once all instances were known to belong to closed groups.
 	closed bool
+	// outage is what was decided for the time until a group opens, turn how long after that the request
+	// has its turn.
+	outage outage.Answer
+	turn   time.Duration
 	// lastInstance is the ID of the last instance tried, reason the cause of the last failure.
 	lastInstance string
 	reason       string
