Forget missing ranks at an opening that no leader tells of

What callers saw: requests sent to a closed group, as entries ignored its statuses. Cause: a group that opened while no leader told its missing ranks, or told some, kept their number but not since when. Once it closed without a leader, they counted as missing since the zero time; the expected opening overflowed to a negative time, which the decoder of an entry rejects with the whole status. Why it works: a number from before the opening is forgotten, and one told with it counts from then.

--- a/outage/estimator.go
+++ b/outage/estimator.go
@@ -62,8 +62,15 @@
 	}
 	if o.Open {
 		ended, ok = e.open(now)
-		if e.missing == 0 {
+		if ok && !e.isTold {
+			// The number is from before the opening.
+			e.missing = 0
+		}
+		switch {
+		case e.missing == 0:
 			e.missingAt = time.Time{}
+		case e.missingAt.IsZero():
+			e.missingAt = now
 		}
 		return ended, ok
 	}
--- a/outage/estimator_test.go
+++ b/outage/estimator_test.go
@@ -111,3 +111,29 @@
 		t.Errorf("expects %s after the forming time has changed, want 300ms", got)
 	}
 }
+
+// TestOpeningWithoutLeaderIsNoAbsence guards against a group that opens while no leader tells its missing ranks,
+// and that counts as one whose ranks are missing for centuries when it closes again: the overflowing time makes
+// entries ignore its statuses, and send requests to it.
+func TestOpeningWithoutLeaderIsNoAbsence(t *testing.T) {
+	tests := []struct {
+		name string
+		seen []Observation
+	}{
+		{"no leader at the opening", []Observation{{Missing: 3}, {Open: true, Missing: MissingUnknown}, {Missing: MissingUnknown}}},
+		{"no leader after the opening", []Observation{{Missing: 3}, {Open: true, Missing: 3}, {Missing: MissingUnknown}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var e Estimator
+			now := course(&e, time.Unix(1_000, 0), time.Second, 600*time.Millisecond)
+			for _, o := range tt.seen {
+				now = now.Add(tick)
+				e.Observe(now, o)
+			}
+			if got := e.Estimate(now.Add(tick)); got.OpensIn < 0 || got.OpensIn > time.Minute {
+				t.Errorf("the group opens in %s", got.OpensIn)
+			}
+		})
+	}
+}
