Read since when an engine can be read under its mutex

What callers saw: nothing seen; a leader could be told a torn time, and so callers a wrong opening. Cause: an answer to an order carries how long the engine has been readable, read without the mutex under which the poll sets it: a data race while a switch of the map meets the return of an engine. Evidence: TestOrderIsAnsweredWhileEngineIsBack under -race reported it at serve.go:49 and agent.go:236. Why it works: the message is built under the mutex, as all others are.

--- a/group/orders.go
+++ b/group/orders.go
@@ -74,7 +74,9 @@
 	if verdict == shift.VerdictNotReady {
 		return
 	}
+	a.mu.Lock()
 	f := a.stateFrame(rep)
+	a.mu.Unlock()
 	f.Seq = seq
 	f.OK = verdict == shift.VerdictDone
 	f.Refused = verdict == shift.VerdictRefused
--- a/group/serve.go
+++ b/group/serve.go
@@ -29,6 +29,7 @@
 	}
 }
 
+// stateFrame returns the message with a report. The caller holds mu.
 func (a *Agent) stateFrame(rep Report) *proto.GroupRank {
 	return &proto.GroupRank{
 		EngineStart: rep.EngineStart,
