Keep dialing a rank that is cut off after a long connection

What callers saw: told times that are late by up to the time in which an instance is listed anew, once a rank of a group that had stood for more than 30 s was cut off. Cause: instances are listed only while a rank is unconnected, and addresses expire 30 s after they were last listed. At a cut after an hour, the first list without the instance removed its address at once. Evidence: TestRankIsDialedAfterLongConnection dialed nobody from the first list on. Why it works: the 30 s count from the end of the rank's link too. A rank is counted only once it reported, so that addresses of other groups expire as before. Cost: at most four dials a second for each such rank.

--- a/group/lead.go
+++ b/group/lead.go
@@ -127,7 +127,7 @@
 	askedAt      time.Time
 	askNotBefore time.Time
 
-	// addresses holds when the address of each agent was last listed.
+	// addresses holds when the address of each agent was last listed, or its rank's link ended.
 	addresses   map[string]time.Time
 	listedAt    time.Time
 	dialedAt    time.Time
--- a/group/links.go
+++ b/group/links.go
@@ -115,6 +115,10 @@
 		return
 	}
 	delete(d.rankOf, e.link)
+	if _, ok := d.addresses[e.address]; ok {
+		// Instances are not listed while all ranks are connected.
+		d.addresses[e.address] = d.m.Clock.Now()
+	}
 	if d.links[r] == e.link {
 		d.links[r] = nil
 		d.known[r] = false
