Bound how long a rank says its engine can be read

What callers saw: as without an estimate, for the rest of a leader's term. Cause: a negative or overflowing time in a rank's report put its return into the future. No later return is after that one, and agents ignore a negative time since the last. Evidence: TestNonsenseTimeIsNoReturn got -999300 ms instead of 200 ms after a report of -1000000 ms. Why it works: the time is bounded to between zero and a year before it is used.

--- a/group/loads.go
+++ b/group/loads.go
@@ -17,6 +17,9 @@
 // engine.
 const missingAfter = 2 * idlePollInterval
 
+// maxReadable bounds how long a rank's engine counts as readable, so that no time overflows.
+const maxReadable = 365 * 24 * time.Hour
+
 // rankLoads is what a leader knows of the loads of all ranks and sends to them.
 type rankLoads struct {
 	ranks []loads.Rank
@@ -67,7 +70,7 @@
 // engine can be read if that began meanwhile, and just now if the rank was cut off. What a new leader hears
 // first may have been there all along.
 func (t *rankLoads) returnedAt(now time.Time, r int, state *proto.GroupRank) time.Time {
-	readable := now.Add(-time.Duration(state.ReadableMs) * time.Millisecond)
+	readable := now.Add(-readableFor(state))
 	silentSince, isNew := t.heardAt[r], false
 	if silentSince.IsZero() {
 		silentSince, isNew = t.createdAt, now.Sub(t.createdAt) < newLeaderGrace
@@ -78,6 +81,12 @@
 	return now
 }
 
+// readableFor returns how long a rank's engine can be read, zero if the message tells no time.
+func readableFor(state *proto.GroupRank) time.Duration {
+	ms := min(max(state.ReadableMs, 0), maxReadable.Milliseconds())
+	return time.Duration(ms) * time.Millisecond
+}
+
 // update prepares the messages. paces holds the paces of the ranks that count as slow and normalPace
 // for the others.
 func (t *rankLoads) update(now time.Time, reported, paces []float64) {
--- a/group/loads_test.go
+++ b/group/loads_test.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -132,3 +133,24 @@
 		})
 	}
 }
+
+// TestNonsenseTimeIsNoReturn guards against one rank's report with a nonsensical time after which a leader never
+// tells again when ranks were back.
+func TestNonsenseTimeIsNoReturn(t *testing.T) {
+	ones := []float64{1, 1}
+	for _, readable := range []int64{-1_000_000, math.MinInt64, math.MaxInt64, math.MaxInt64 / 2_000_000} {
+		now := time.Unix(1_000, 0)
+		k := newRankLoads(now, 2)
+		now = now.Add(time.Minute)
+		k.observe(now, 0, core.Start{}, &proto.GroupRank{})
+		k.observe(now, 1, core.Start{}, &proto.GroupRank{ReadableMs: readable})
+		now = now.Add(missingAfter)
+		k.observe(now, 0, core.Start{}, &proto.GroupRank{})
+		k.observe(now, 1, core.Start{}, &proto.GroupRank{})
+		now = now.Add(200 * time.Millisecond)
+		k.update(now, ones, ones)
+		if k.bare.BackMs != 200 {
+			t.Errorf("readable for %d ms: ranks are back for %d ms, want 200", readable, k.bare.BackMs)
+		}
+	}
+}
