Count only as many unknown instances as closed groups lack ranks

What callers saw: refused as if all groups were closed while an instance that takes requests was not known: one of a group smaller than the closed ones, or of none, at an entry that hears nothing of it. Cause: unknown instances counted as ranks about to be back if they were fewer than the smallest closed group has, even if all ranks of the closed groups were there; and blocked ranks counted as absent. Evidence: TestUnknownRankDoesNotHideOutage (two new rows) and TestBlockedRanksAreNoUnknownOnes failed before. Why it works: an unknown instance can only be a rank that a closed group lacks, by all listed instances. Left: a smaller open group of which nothing is heard, while a closed one lacks as many ranks.

--- a/gate/closed_test.go
+++ b/gate/closed_test.go
@@ -1,11 +1,15 @@
 package gate
 
 import (
+	"slices"
 	"testing"
 	"time"
 
+	"geraniumpass/core"
 	"geraniumpass/loads"
+	"geraniumpass/outage"
 	"geraniumpass/plan"
+	"geraniumpass/view"
 )
 
 // TestCallerIsNotSentAwayForAnOutageWhileAGroupIsOpen guards against callers that are told to come back as
@@ -43,6 +47,7 @@
 func TestUnknownRankDoesNotHideOutage(t *testing.T) {
 	closed := condition{known: true, size: 4}
 	open := condition{known: true, size: 4, open: true}
+	large := condition{known: true, group: "large", size: 16}
 	var unknown condition
 	tests := []struct {
 		name       string
@@ -57,6 +62,10 @@
 		{"closed, ranks never told", []condition{{known: true}, {known: true}}, true},
 		{"closed, ranks never told, one unknown", []condition{{known: true}, unknown}, false},
 		{"no instance", nil, false},
+		{"a smaller group unknown beside a complete one", append(slices.Repeat([]condition{large}, 16), slices.Repeat([]condition{unknown}, 4)...), false},
+		{"an instance without a group beside a complete one", append(slices.Repeat([]condition{large}, 16), unknown), false},
+		{"four of sixteen ranks unknown", append(slices.Repeat([]condition{large}, 12), slices.Repeat([]condition{unknown}, 4)...), true},
+		{"holes of one group, another complete", append(slices.Repeat([]condition{large}, 15), closed, closed, closed, closed, unknown), true},
 	}
 	for _, tt := range tests {
 		if got := areAllClosed(tt.conditions); got != tt.want {
@@ -65,6 +74,31 @@
 	}
 }
 
+// TestBlockedRanksAreNoUnknownOnes guards against callers that are refused as if all groups were closed although
+// an instance may serve them whose group is unknown, because as many ranks of a closed group are blocked.
+func TestBlockedRanksAreNoUnknownOnes(t *testing.T) {
+	r := requestAmongGroups()
+	now := r.g.clock.Now()
+	closeGroups(r, outage.Estimate{})
+	for _, s := range r.g.groups.Recent() {
+		r.g.cooldowns.record(s.Ranks[0].Start, now, now.Add(time.Second))
+	}
+	r.g.view.Apply(view.Change{
+		Rev: 2,
+		Put: []core.Instance{{
+			ID:        "unknown",
+			Service:   "svc",
+			Domain:    "a",
+			Address:   "10.9.9.9:1",
+			StartedAt: 1,
+			Slots:     10,
+		}},
+	})
+	if _, ok := r.pick(); !ok || r.closed {
+		t.Errorf("picked an instance: %v, all closed: %v", ok, r.closed)
+	}
+}
+
 // restWhereOpen lets all instances of an open group rest.
 func restWhereOpen(r *request, s *loads.Status, now time.Time) {
 	for i := range s.Ranks {
--- a/gate/groups.go
+++ b/gate/groups.go
@@ -38,8 +38,9 @@
 	known  bool
 	open   bool
 	usable bool
-	// size is the number of ranks of the group, zero while unknown.
-	size int
+	// group is the name of the group, and size the number of its ranks, zero while unknown.
+	group string
+	size  int
 	// idle is set if no rank of the group is known to have requests.
 	idle bool
 	// hasLoad is set if the rank's load is recent; load is the requests in its batch and queue as of
@@ -78,6 +79,7 @@
 		known:  true,
 		open:   s.Open,
 		usable: s.IsUsable(gap),
+		group:  s.Name,
 		size:   len(s.Ranks),
 		idle:   s.Running()+s.Waiting() == 0,
 	}
@@ -97,7 +99,8 @@
 }
 
 // areAllClosed reports whether every instance belongs to a closed group. Instances whose group is not known
-// count as ranks that are about to be back if they are too few for a group of their own.
+// count as ranks that are about to be back if they are too few for a group of their own, and the closed groups
+// lack as many.
 func areAllClosed(conditions []condition) bool {
 	unknown, size := 0, noSize
 	for i := range conditions {
@@ -111,7 +114,30 @@
 			size = c.size
 		}
 	}
-	return size != noSize && unknown < max(size, 1)
+	if unknown == 0 {
+		return size != noSize
+	}
+	return unknown < size && unknown <= absentRanks(conditions)
+}
+
+// absentRanks returns the number of ranks of all known groups that are none of the instances.
+func absentRanks(conditions []condition) int {
+	absent := make(map[string]int)
+	for i := range conditions {
+		c := &conditions[i]
+		if !c.known {
+			continue
+		}
+		if _, ok := absent[c.group]; !ok {
+			absent[c.group] = c.size
+		}
+		absent[c.group]--
+	}
+	sum := 0
+	for _, n := range absent {
+		sum += max(n, 0)
+	}
+	return sum
 }
 
 // areGroupsDown reports whether all groups of the service are known to be closed, or to be about to close:
--- a/gate/pick.go
+++ b/gate/pick.go
@@ -22,10 +22,12 @@
 	starts := startsOf(list)
 	conditions := r.g.conditions(starts, r.route, now)
 	if areAllClosed(conditions) {
-		r.reason = reasonClosed
-		// Those that are blocked for a moment may belong to open groups.
+		// Those that are blocked for a moment may belong to open groups, and are no absent ranks.
 		r.closed = areAllClosed(r.g.conditions(startsOf(snap.Usable(r.service.Name)), r.route, now))
-		return core.Instance{}, false
+		if r.closed || lo.EveryBy(conditions, func(c condition) bool { return c.known }) {
+			r.reason = reasonClosed
+			return core.Instance{}, false
+		}
 	}
 	i := r.choose(r.instanceViews(snap, list, conditions, now), anyUsable(conditions))
 	if i < 0 {
