Tell no time of an outage while instances are not known to be closed

What callers saw: refused by busy instances, told to come back after seconds as in an outage. Cause: an entry that hears of one closed group only, and nothing of the others, took its expected opening for that of the service. Why it works: an estimate applies only if all instances count as closed, by the rule that picks use.

--- a/gate/opening.go
+++ b/gate/opening.go
@@ -91,13 +91,18 @@
 func (r *request) outageAnswer() outage.Answer {
 	now := r.g.clock.Now()
 	o := openingOf(r.g.groupsOf(r.service.Name))
-	if o.isOpen || o.next.Basis == outage.BasisUnknown {
+	if o.isOpen || o.next.Basis == outage.BasisUnknown || !r.isAllClosed(now) {
 		return outage.Answer{}
 	}
 	r.turn = r.drawTurn(now, &o)
 	return outage.Decide(o.next, r.turn, r.outageCaller(now))
 }
 
+// isAllClosed reports whether no instance may take requests now, since some groups may not be known.
+func (r *request) isAllClosed(now time.Time) bool {
+	return areAllClosed(r.g.conditions(startsOf(r.g.view.Now().Usable(r.service.Name)), r.route, now))
+}
+
 // drawTurn draws how long after the opening of the groups the request has its turn.
 func (r *request) drawTurn(now time.Time, o *opening) time.Duration {
 	room := outage.Room{Ranks: o.ranks}
--- a/gate/opening_test.go
+++ b/gate/opening_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"geraniumpass/loads"
 	"geraniumpass/outage"
 )
 
@@ -92,3 +93,18 @@
 		}
 	}
 }
+
+// TestClosedGroupTellsNothingOfUnknownOnes guards against callers that are sent away for the outage of one group
+// by an entry that hears nothing of the others, whose instances are only busy.
+func TestClosedGroupTellsNothingOfUnknownOnes(t *testing.T) {
+	r := requestAmongGroups()
+	r.deadline = r.g.clock.Now().Add(8 * time.Second)
+	s := r.g.groups.Recent()["group-2"]
+	r.g.groups = loads.NewBoard(r.g.clock)
+	s.Open = false
+	s.Opening = outage.Estimate{Basis: outage.BasisMissing, Missing: 4, OpensIn: 5 * time.Second}
+	r.g.groups.Update(s.Group)
+	if after := r.retryAfter(0); after > time.Second {
+		t.Errorf("told to come back after %s", after)
+	}
+}
