Let a request wait that is served in time only if it does

What callers saw: refused for good as hopeless just before a group opened, with enough time left. Cause: the time that a caller needs to come back was asked for, 150 ms and all, before it was decided that the request waits at the entry and has no way back. Evidence: TestDecide, 0.9 s left and 0.4 s until the opening: told 900 ms and to be hopeless. Why it works: waiting is decided first; it ends early enough for the answer by itself.

--- a/outage/answer.go
+++ b/outage/answer.go
@@ -61,16 +61,16 @@
 
 func decideForming(turn, honored time.Duration, c Caller) Answer {
 	after := turn + openingMargin
-	if after+c.Aim > c.Remaining {
+	if wait := c.maxWait(); c.HasReturned && wait > 0 && turn <= wait {
 		return Answer{
-			RetryAfter: max(after, c.Remaining),
-			Hopeless:   true,
+			Wait:       wait,
+			RetryAfter: min(after, honored),
 		}
 	}
-	if wait := c.maxWait(); c.HasReturned && turn <= wait {
+	if after+c.Aim > c.Remaining {
 		return Answer{
-			Wait:       wait,
-			RetryAfter: min(after, honored),
+			RetryAfter: max(after, c.Remaining),
+			Hopeless:   true,
 		}
 	}
 	return Answer{RetryAfter: min(after, honored)}
