Tell callers with hardly any time left no times near zero

What callers saw: Retry-After of some milliseconds, or 0.000, while ranks were missing. Cause: a third of the remaining time, without a lower bound; an outage without an estimate has one of 50 ms. Evidence: TestDecide, 20 ms left and ranks missing: told 6.6 ms, and -6.6 ms with none left. Why it works: the time is 50 ms at least, so that a caller in its last moment comes back at most once.

--- a/outage/answer.go
+++ b/outage/answer.go
@@ -11,6 +11,9 @@
 	// missing; missingMargin times the expected time is it otherwise, since that is a median.
 	minMissingReturn = 4 * time.Second
 	missingMargin    = 1.5
+	// minReturn is the least time after which any caller comes back: one with hardly any time left must
+	// not come back over and over until it is over.
+	minReturn = 50 * time.Millisecond
 	// MaxWait is how long a request waits at an entry for a group that forms. Callers expect answers
 	// to begin within some hundred milliseconds, and are told to come back for anything longer.
 	MaxWait = time.Second
@@ -54,7 +57,7 @@
 		return Answer{Wait: c.maxWait()}
 	case BasisMissing:
 		after := max(minMissingReturn, time.Duration(missingMargin*float64(e.OpensIn))+later)
-		return Answer{RetryAfter: min(after, honored)}
+		return Answer{RetryAfter: max(minReturn, min(after, honored))}
 	}
 	return Answer{}
 }
--- a/outage/answer_test.go
+++ b/outage/answer_test.go
@@ -31,6 +31,8 @@
 		{"forming, returned, hardly any time left", Estimate{Basis: BasisForming, OpensIn: 400 * ms}, 0, Caller{Remaining: 700 * ms, Aim: 400 * ms, HasReturned: true}, Answer{RetryAfter: 700 * ms, Hopeless: true}},
 		{"forming, returned, in time only if it waits", Estimate{Basis: BasisForming, OpensIn: 400 * ms}, 0, Caller{Remaining: 900 * ms, Aim: 400 * ms, HasReturned: true}, Answer{Wait: 500 * ms, RetryAfter: 297 * ms}},
 		{"forming, returned, due, no time to wait", Estimate{Basis: BasisForming}, 0, Caller{Remaining: 100 * ms, Aim: 400 * ms, HasReturned: true}, Answer{RetryAfter: 150 * ms, Hopeless: true}},
+		{"missing, hardly any time left", Estimate{Basis: BasisMissing, OpensIn: 400 * ms}, 0, Caller{Remaining: 20 * ms}, Answer{RetryAfter: 50 * ms}},
+		{"missing, no time left", Estimate{Basis: BasisMissing, OpensIn: 400 * ms}, 0, Caller{Remaining: -20 * ms}, Answer{RetryAfter: 50 * ms}},
 		{"missing, beyond what callers honor", Estimate{Basis: BasisMissing, OpensIn: 6 * time.Second}, 0, fresh, Answer{RetryAfter: 2640 * ms}},
 		{"missing, returned", Estimate{Basis: BasisMissing, OpensIn: 100 * ms}, 0, returned, Answer{RetryAfter: 1650 * ms}},
 		{"missing, much time", Estimate{Basis: BasisMissing, OpensIn: 6 * time.Second}, 0, Caller{Remaining: time.Minute}, Answer{RetryAfter: 9 * time.Second}},
