Count requests as due at the opening of their own outage only

What callers saw: turns up to two seconds after an opening, and refusals instead of a wait of at most one. Cause: the count of due requests went back to zero only while ranks were known to be missing. It grew over outages in which that was not known. A nonsensical opening made the spread overflow to a negative one, too. Why it works: nothing is counted while a group is open, so a second without a request separates outages; the limit applies before the conversion.

--- a/outage/returns.go
+++ b/outage/returns.go
@@ -11,6 +11,8 @@
 	rateWindow = time.Second
 	// maxSpread bounds the time over which callers come back after an opening.
 	maxSpread = 2 * time.Second
+	// dueTTL is the time without a request from which another outage has begun.
+	dueTTL = time.Second
 )
 
 // Room is how fast the groups that open take requests. All entries share it.
@@ -36,6 +38,9 @@
 func (r *Returns) Add(now time.Time, e Estimate, room Room, entries int) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if now.Sub(r.lastAt) >= dueTTL {
+		r.due = 0
+	}
 	r.weight = 1 + r.weight*math.Exp(-now.Sub(r.lastAt).Seconds()/rateWindow.Seconds())
 	r.lastAt = now
 	if e.Basis < BasisBack {
@@ -48,5 +53,5 @@
 	}
 	due := float64(r.due) + r.weight/rateWindow.Seconds()*e.OpensIn.Seconds()
 	steps := due * float64(entries) / float64(room.Ranks)
-	return min(maxSpread, time.Duration(steps*float64(room.Step)))
+	return time.Duration(min(float64(maxSpread), steps*float64(room.Step)))
 }
