--- a/gate/opening_test.go
+++ b/gate/opening_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -108,3 +110,75 @@
 		t.Errorf("told to come back after %s", after)
 	}
 }
+
+// TestRequestsThatWaitAreBounded guards against an entry whose connections are all held for an opening.
+func TestRequestsThatWaitAreBounded(t *testing.T) {
+	o := newOpenings()
+	for i := range maxWaiting {
+		if !o.beginWait() {
+			t.Fatalf("%d requests wait, and no other may", i)
+		}
+	}
+	if o.beginWait() {
+		t.Errorf("more than %d requests wait", maxWaiting)
+	}
+	o.endWait()
+	if !o.beginWait() {
+		t.Error("nobody may wait after one has ended")
+	}
+}
+
+// TestRefusedIsToldOpening guards against an estimate that no caller is told.
+func TestRefusedIsToldOpening(t *testing.T) {
+	r := requestAmongGroups()
+	r.deadline = r.g.clock.Now().Add(8 * time.Second)
+	closeGroups(r, outage.Estimate{Basis: outage.BasisForming, OpensIn: 400 * time.Millisecond})
+	r.g.clock.(*clockwork.FakeClock).Advance(100 * time.Millisecond)
+	if after := r.retryAfter(0); after != 450*time.Millisecond {
+		t.Errorf("told to come back after %s, want 300ms until the opening and 150ms", after)
+	}
+}
+
+// TestReturnedRequestWaitsOnItsWay guards against requests that are refused where they should wait, and held for
+// an opening whose caller has left meanwhile.
+func TestReturnedRequestWaitsOnItsWay(t *testing.T) {
+	r := requestAmongGroups()
+	clock := r.g.clock.(*clockwork.FakeClock)
+	limit, stop := context.WithTimeout(context.Background(), 30*time.Second)
+	defer stop()
+	ctx, leave := context.WithCancel(limit)
+	defer leave()
+	r.ctx, r.spentBefore, r.deadline = ctx, 2*time.Second, clock.Now().Add(5*time.Second)
+	r.route.Attempts, r.hashed = 2, true
+	closeGroups(r, outage.Estimate{Basis: outage.BasisForming, OpensIn: 400 * time.Millisecond})
+	status := make(chan int, 1)
+	w := httptest.NewRecorder()
+	r.w = w
+	go func() { status <- r.tryUpstreams() }()
+	if err := clock.BlockUntilContext(limit, 1); err != nil {
+		t.Fatalf("the request doesn't wait: status %d", <-status)
+	}
+	leave()
+	if got := <-status; got != statusCallerGone || w.Code != http.StatusOK {
+		t.Errorf("status %d, and %d was written", got, w.Code)
+	}
+}
+
+// TestWaitEndsWithoutHope guards against requests that are held though the opening is overdue for them, and
+// against a second wait of a request that has waited, or one while no group is known to be closed.
+func TestWaitEndsWithoutHope(t *testing.T) {
+	late := outage.Estimate{Basis: outage.BasisForming, OpensIn: 900 * time.Millisecond}
+	r := requestAmongGroups()
+	r.ctx, r.spentBefore, r.deadline = context.Background(), 2*time.Second, r.g.clock.Now().Add(5*time.Second)
+	closeGroups(r, late)
+	if r.waitUntilOpen(r.g.clock.Now().Add(800 * time.Millisecond)) {
+		t.Error("waited for an opening that comes too late")
+	}
+	if r.awaitOpening() {
+		t.Error("waited although not all instances are known to be closed")
+	}
+	r.closed, r.outage.Wait = true, time.Second
+	if r.awaitOpening() {
+		t.Error("waited twice")
+	}
+}
