Test which forming times are learned, and that an estimate ends

What callers saw: nothing; the tests passed with an estimator that learns forming times of which it saw no beginning or that are longer than any, or that says for ever that ranks are back. Why it works: TestOddFormingsAreNotLearned and TestEstimateEndsInTime name the courses.

--- a/outage/estimator_test.go
+++ b/outage/estimator_test.go
@@ -137,3 +137,52 @@
 		})
 	}
 }
+
+// TestEstimateEndsInTime guards against callers that are sent back or held for a group that never opens.
+func TestEstimateEndsInTime(t *testing.T) {
+	for _, isLearned := range []bool{false, true} {
+		var e Estimator
+		now := time.Unix(1_000, 0)
+		if isLearned {
+			now = course(&e, now, time.Second, 600*time.Millisecond)
+		}
+		e.Observe(now, Observation{Missing: 3})
+		e.Observe(now, Observation{})
+		if got := e.Estimate(now); got.Basis < BasisBack {
+			t.Errorf("learned: %v, basis %s as all ranks are back", isLearned, got.Basis)
+		}
+		if got := e.Estimate(now.Add(maxForming + tick)); got != (Estimate{}) {
+			t.Errorf("learned: %v, got %+v after %s", isLearned, got, maxForming)
+		}
+	}
+}
+
+// TestOddFormingsAreNotLearned guards against a forming time learned from a rank that was missing unseen, or from
+// an outage whose end of the absence was not seen: one such time is an estimate if it is the first.
+func TestOddFormingsAreNotLearned(t *testing.T) {
+	tests := []struct {
+		name    string
+		seen    []Observation
+		forming time.Duration
+	}{
+		{"longer than any forming", []Observation{{Open: true}, {Missing: 3}, {}}, maxForming + tick},
+		{"its beginning was not seen", []Observation{{Open: true, Missing: MissingUnknown}, {Missing: MissingUnknown}, {Missing: MissingUnknown}, {}}, time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var e Estimator
+			now := time.Unix(1_000, 0)
+			for _, o := range tt.seen {
+				now = now.Add(tick)
+				e.Observe(now, o)
+			}
+			if e.Phase() != PhaseForming {
+				t.Fatalf("phase is %s", e.Phase())
+			}
+			e.Observe(now.Add(tt.forming), Observation{Open: true})
+			if got, ok := e.formings.quantile(formingShare); ok {
+				t.Errorf("learned %s", got)
+			}
+		})
+	}
+}
