Count a request once among those due at an opening

What callers saw: turns up to twice as late as the group has room, and so refusals where a wait was possible. Cause: a request that waited, or might have, was counted as it came to wait and again as it was refused. Why it works: the turn is drawn and counted once; what is decided by it may still change.

--- a/gate/opening.go
+++ b/gate/opening.go
@@ -94,7 +94,9 @@
 	if o.isOpen || o.next.Basis == outage.BasisUnknown || !r.isAllClosed(now) {
 		return outage.Answer{}
 	}
-	r.turn = r.drawTurn(now, &o)
+	if !r.hasTurn {
+		r.turn, r.hasTurn = r.drawTurn(now, &o), true
+	}
 	return outage.Decide(o.next, r.turn, r.outageCaller(now))
 }
 
--- a/gate/opening_test.go
+++ b/gate/opening_test.go
@@ -11,6 +11,7 @@
 
 	"geraniumpass/loads"
 	"geraniumpass/outage"
+	"geraniumpass/plan"
 )
 
 // closeGroups closes all groups, which expect to open as estimated.
@@ -182,3 +183,19 @@
 		t.Error("waited twice")
 	}
 }
+
+// TestRequestHasOneTurn guards against requests that count twice among those that are due at an opening, once as
+// they wait and once as they are refused.
+func TestRequestHasOneTurn(t *testing.T) {
+	r := requestAmongGroups()
+	r.ctx, r.deadline, r.closed = context.Background(), r.g.clock.Now().Add(8*time.Second), true
+	r.service.Engine = &plan.Engine{StepMs: 1_000}
+	closeGroups(r, outage.Estimate{Basis: outage.BasisBack})
+	if r.awaitOpening() {
+		t.Fatal("the first attempt waits")
+	}
+	turn := r.turn
+	if r.retryAfter(0); turn == 0 || r.turn != turn {
+		t.Errorf("the turn is %s, then %s", turn, r.turn)
+	}
+}
--- a/gate/request.go
+++ b/gate/request.go
@@ -65,9 +65,10 @@
 	// closed is set once all instances were known to belong to closed groups.
 	closed bool
 	// outage is what was decided for the time until a group opens, turn how long after that the request
-	// has its turn.
-	outage outage.Answer
-	turn   time.Duration
+	// has its turn. hasTurn is set once the request is counted among those that are due.
+	outage  outage.Answer
+	turn    time.Duration
+	hasTurn bool
 	// lastInstance is the ID of the last instance tried, reason the cause of the last failure.
 	lastInstance string
 	reason       string
