Test which of several openings counts, and a new leader's silence

What callers saw: nothing; the tests passed with an entry that told the absence of one group while another formed or held requests where nothing is known, and with a leader that tells ranks it has not heard as missing. Why it works: TestOpeningOfGroups and TestNewLeaderTellsNoMissingRanks name the cases.

--- a/gate/opening_test.go
+++ b/gate/opening_test.go
@@ -199,3 +199,30 @@
 		t.Errorf("the turn is %s, then %s", turn, r.turn)
 	}
 }
+
+// TestOpeningOfGroups guards against callers that are told the absence of one group while another forms, or the
+// later of two openings, and against requests that are held where nothing is known.
+func TestOpeningOfGroups(t *testing.T) {
+	status := func(basis outage.Basis, opensIn time.Duration) loads.Status {
+		return loads.Status{Group: loads.Group{
+			Ranks:   make([]loads.Rank, 4),
+			Opening: outage.Estimate{Basis: basis, OpensIn: opensIn},
+		}}
+	}
+	missing := status(outage.BasisMissing, 100*time.Millisecond)
+	forming, later := status(outage.BasisForming, 300*time.Millisecond), status(outage.BasisForming, 500*time.Millisecond)
+	tests := []struct {
+		name   string
+		groups map[string]loads.Status
+		want   opening
+	}{
+		{"nothing known", nil, opening{isOpen: true}},
+		{"one forms", map[string]loads.Status{"a": missing, "b": forming, "c": missing}, opening{next: forming.Opening, ranks: 4}},
+		{"two form", map[string]loads.Status{"a": later, "b": forming, "c": later}, opening{next: forming.Opening, ranks: 12}},
+	}
+	for _, tt := range tests {
+		if got := openingOf(tt.groups); got != tt.want {
+			t.Errorf("%s: got %+v, want %+v", tt.name, got, tt.want)
+		}
+	}
+}
--- a/group/loads_test.go
+++ b/group/loads_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"geraniumpass/core"
+	"geraniumpass/outage"
 	"geraniumpass/proto"
 	"geraniumpass/wire"
 )
@@ -154,3 +155,17 @@
 		}
 	}
 }
+
+// TestNewLeaderTellsNoMissingRanks guards against an outage that agents see at each change of the leader, which
+// has not heard the ranks yet.
+func TestNewLeaderTellsNoMissingRanks(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	k := newRankLoads(now, 2)
+	k.observe(now, 0, core.Start{}, &proto.GroupRank{})
+	if got := k.countMissing(now.Add(newLeaderGrace - 1)); got != outage.MissingUnknown {
+		t.Errorf("%d ranks are missing as the term begins, want unknown", got)
+	}
+	if got := k.countMissing(now.Add(newLeaderGrace)); got != 2 {
+		t.Errorf("%d ranks are missing after %s, want 2", got, newLeaderGrace)
+	}
+}
