Know the group that a request left by its restarted instances too

What callers saw: a request that left a stalled group may be sent to it again, at another attempt. Cause: instances that restarted and are listed with their starts of before have a group for picks, but none when a request notes the groups that it left. Evidence: TestRestartedInstanceKeepsItsGroup got no group for the listed start. Why it works: both ask by the same rule.

--- a/loads/board.go
+++ b/loads/board.go
@@ -103,7 +103,7 @@
 func (b *Board) GroupOf(start core.Start) string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.placeOf[start].group
+	return b.placeOfAny(start).group
 }
 
 // Recent returns the status of each group that was received within maxAge, by name. The ranks are
--- a/loads/board_test.go
+++ b/loads/board_test.go
@@ -130,6 +130,9 @@
 	if m := known.Members[0]; m.Group < 0 || known.Groups[m.Group].Name != "g" || m.Rank >= 0 {
 		t.Errorf("the restarted instance is %+v, want a member of g without a rank", m)
 	}
+	if got := b.GroupOf(listed); got != "g" {
+		t.Errorf("a request that left g may return to the restarted instance, whose group is %q", got)
+	}
 	if m := known.Members[1]; m.Group >= 0 {
 		t.Errorf("an instance that no status names is %+v, want none", m)
 	}
