Take room for the next long step and classes within priorities out again

Cause: room is short for all ranks at each change of the experts in demand there, and the lower ranks, by accounts, were refused each time and came back late. Its test of a large account stays and shows a fault that is older: it fails at 99 and 432 entries and is listed. The tests of what is taken out go with it; none of them had landed.

--- a/admit/demand.go
+++ b/admit/demand.go
@@ -6,7 +6,7 @@
 // negative or beyond what any engine holds count as usual ones.
 type Demand struct {
 	Class string
-	// ClassRank is the priority of the route, zero being the highest; AccountRank goes before it if set.
+	// ClassRank is the priority of the route, zero being the highest; AccountRank replaces it if set.
 	ClassRank   int
 	AccountRank *int
 	Account     string
@@ -25,14 +25,13 @@
 	Returned bool
 }
 
-// rank returns the priority of the request: that of its account before that of its route, which tells apart
-// the requests of accounts with the same one and stands in for one that is missing.
+// rank returns the priority of the request, that of its account before that of its route.
 func (d *Demand) rank() int {
-	account := d.ClassRank
+	rank := d.ClassRank
 	if d.AccountRank != nil {
-		account = *d.AccountRank
+		rank = *d.AccountRank
 	}
-	return min(max(account, 0), maxAccountRank)*classRanks + min(max(d.ClassRank, 0), classRanks-1)
+	return min(max(rank, 0), maxRank)
 }
 
 // late reports whether the request can't meet its target any more.
--- a/admit/fair.go
+++ b/admit/fair.go
@@ -7,11 +7,8 @@
 
 const (
 	// accountHalfLife is the half-life of an account's rate of work. It is a few streams long, so that
-	// a single long answer doesn't pass for a flood. An entry with few requests remembers them for longer,
-	// requestsPerHalfLife of them but no longer than maxAccountHalfLife: too few show no account's rate.
-	accountHalfLife     = 4 * time.Second
-	maxAccountHalfLife  = 20 * time.Second
-	requestsPerHalfLife = 16
+	// a single long answer doesn't pass for a flood.
+	accountHalfLife = 4 * time.Second
 	// maxAccounts bounds the number of accounts that are remembered; others count as fair.
 	maxAccounts = 4096
 	// maxHalfLives is how many half-lives weights grow before they are scaled down.
@@ -27,19 +24,15 @@
 	bucketOffset = 4
 	// idleWeight is the recent work in tokens below which an account is forgotten.
 	idleWeight = 0.5
-	// minFairWork is the recent work, in usual requests, up to which an account is always fair.
-	minFairWork = 1
-	// standOut is the multiple of the mean from which an account is over its fair share. Below it, equal
-	// accounts differ by chance.
-	standOut = 2
+	// minFairWork is the recent work, in usual requests, up to which an account is always fair: so few
+	// requests tell nothing about a rate.
+	minFairWork = 4
 )
 
 // shares are the recent amounts of work of the accounts at this entry, halved every
 // accountHalfLife. Instead of decaying all of them, new work is weighted up as time goes on.
 type shares struct {
-	updatedAt time.Time
-	// halfLives is how many half-lives weights have grown by.
-	halfLives float64
+	epoch     time.Time
 	byAccount map[string]float64
 	total     float64
 	counts    [buckets]int
@@ -55,27 +48,19 @@
 	}
 }
 
-// advance lets the time since the last request pass.
-func (s *shares) advance(now time.Time) {
-	since := now.Sub(s.updatedAt).Seconds()
-	if !s.updatedAt.IsZero() && since > 0 {
-		passed := min(since/accountHalfLife.Seconds(), 1.0/requestsPerHalfLife)
-		s.halfLives += max(passed, since/maxAccountHalfLife.Seconds())
-	}
-	s.updatedAt = now
-	if s.halfLives > maxHalfLives {
-		s.rescale()
-	}
-}
-
 // scale returns the weight of work done now.
-func (s *shares) scale() float64 {
-	return math.Exp2(s.halfLives)
+func (s *shares) scale(now time.Time) float64 {
+	return math.Exp2(now.Sub(s.epoch).Seconds() / accountHalfLife.Seconds())
 }
 
 // add records work of an account.
 func (s *shares) add(now time.Time, account string, work float64) {
-	s.advance(now)
+	if s.epoch.IsZero() {
+		s.epoch = now
+	}
+	if now.Sub(s.epoch) > maxHalfLives*accountHalfLife {
+		s.rescale(now)
+	}
 	weight, known := s.byAccount[account]
 	if !known && len(s.byAccount) >= maxAccounts {
 		return
@@ -83,16 +68,16 @@
 	if known {
 		s.count(weight, -1)
 	}
-	added := work * s.scale()
+	added := work * s.scale(now)
 	s.byAccount[account] = weight + added
 	s.total += added
 	s.count(weight+added, 1)
 }
 
 // rescale starts a new epoch and forgets idle accounts.
-func (s *shares) rescale() {
-	scale := s.scale()
-	s.halfLives = 0
+func (s *shares) rescale(now time.Time) {
+	scale := s.scale(now)
+	s.epoch = now
 	s.fairAt = time.Time{}
 	s.total = 0
 	s.counts = [buckets]int{}
@@ -142,8 +127,8 @@
 }
 
 // fairShare returns the share of an account's work that is within its fair share when the given
-// share of all work is admitted. An account with no more than standOut times the mean is always within
-// it: where all ask for the same, none of them is to blame.
+// share of all work is admitted. An account with no more than the mean is always within it: where all
+// ask for the same, none of them is to blame.
 func (s *shares) fairShare(now time.Time, account string, share, usual float64) float64 {
 	weight, ok := s.byAccount[account]
 	if !ok || weight <= 0 || share >= 1 {
@@ -153,10 +138,6 @@
 		s.fair = s.fairWeight(share)
 		s.fairAt = now
 	}
-	request := minFairWork * usual * s.scale()
-	mean := s.total / float64(len(s.byAccount))
-	if weight <= max(request, standOut*mean) {
-		return 1
-	}
-	return min(max(s.fair, mean, request)/weight, 1)
+	least := max(minFairWork*usual*s.scale(now), s.total/float64(len(s.byAccount)))
+	return min(max(s.fair, least)/weight, 1)
 }
--- a/admit/flood_sim_test.go
+++ b/admit/flood_sim_test.go
@@ -19,9 +19,6 @@
 	name func(Demand) string
 	back map[int][]Demand
 	ends map[string]*outcome
-	// step is called after each tick, begun for each admitted request.
-	step  func()
-	begun func(d Demand)
 }
 
 // newFlood returns a fleet before two groups that finish about 230 requests a second.
@@ -31,10 +28,8 @@
 			&streams{ranks: 32, stepMs: evenStep(2), events: 23},
 			&streams{ranks: 32, stepMs: evenStep(2), events: 23},
 		),
-		back:  make(map[int][]Demand),
-		ends:  make(map[string]*outcome),
-		step:  func() {},
-		begun: func(Demand) {},
+		back: make(map[int][]Demand),
+		ends: make(map[string]*outcome),
 	}
 	for i := range f.entries {
 		f.entries[i] = shedder(f.random.Float64)
@@ -44,8 +39,7 @@
 
 // offer offers requests at the given rate; a refused one comes back once.
 func (f *flood) offer(duration time.Duration, perSecond float64) {
-	f.run(duration, 0, func() {
-		f.step()
+	f.fleet.run(duration, 0, func() {
 		statuses := make([]Group, len(f.groups))
 		for i, g := range f.groups {
 			statuses[i] = g.status(string(rune('a' + i)))
@@ -78,7 +72,6 @@
 		return
 	}
 	o.admitted++
-	f.begun(d)
 	g := f.pick()
 	if g.step <= d.Gap && g.wait() <= d.Aim {
 		o.timely++
@@ -126,7 +119,6 @@
 func TestOtherAccountsLoseNothingToALargeOne(t *testing.T) {
 	for _, entries := range []int{9, 41, 99, 432} {
 		t.Run(fmt.Sprintf("%d entries", entries), func(t *testing.T) {
-			t.Parallel()
 			if lost := lossToLargeAccount(t, newFlood(entries, NewRanked)); lost >= 0.02 {
 				t.Errorf("other accounts lost %.3f", lost)
 			}
@@ -138,7 +130,6 @@
 func TestOtherAccountsLoseNothingWhereAllAreRefused(t *testing.T) {
 	for _, entries := range []int{9, 41, 99, 432} {
 		t.Run(fmt.Sprintf("%d entries", entries), func(t *testing.T) {
-			t.Parallel()
 			if lost := lossToLargeAccount(t, newFlood(entries, New)); lost >= 0.02 {
 				t.Errorf("other accounts lost %.3f", lost)
 			}
@@ -163,58 +154,3 @@
 		}
 	}
 }
-
-// Load: one account of 24 has ten times its traffic, or long requests of all accounts become ten times as many,
-// for 20 s. Neither the account nor the size is served less than half as often as the whole.
-func TestFloodedKindsAreServedHalfAsOftenAsTheWhole(t *testing.T) {
-	tests := []struct {
-		name string
-		kind func(f *flood, many bool) Demand
-	}{
-		{name: "account", kind: func(f *flood, many bool) Demand {
-			if many {
-				return demand(0, string(rune('A'+max(f.random.IntN(33)-9, 0))))
-			}
-			return f.equalAccounts()
-		}},
-		{name: "size", kind: func(f *flood, many bool) Demand {
-			d := f.equalAccounts()
-			if many && f.random.IntN(33) < 10 || !many && f.random.IntN(24) < 1 {
-				d.LengthHint *= 8
-				d.PromptTokens *= 4
-			}
-			return d
-		}},
-	}
-	for _, tt := range tests {
-		for _, entries := range []int{9, 41, 99, 432} {
-			t.Run(fmt.Sprintf("%s, %d entries", tt.name, entries), func(t *testing.T) {
-				t.Parallel()
-				f := newFlood(entries, NewRanked)
-				f.name = func(d Demand) string { return fmt.Sprint(d.Account, d.LengthHint) }
-				f.next = func() Demand { return tt.kind(f, false) }
-				f.offer(20*time.Second, usualRate)
-				clear(f.ends)
-				f.next = func() Demand { return tt.kind(f, true) }
-				f.offer(20*time.Second, usualRate/24*33)
-				f.checkServed(t)
-			})
-		}
-	}
-}
-
-// checkServed fails if a kind of requests was served less than half as often as all of them.
-func (f *flood) checkServed(t *testing.T) {
-	t.Helper()
-	all := outcome{}
-	least := 1.0
-	for _, o := range f.ends {
-		all.admitted += o.admitted
-		all.ended += o.ended
-		least = min(least, o.admitted/o.ended)
-	}
-	t.Logf("served %.3f of all, %.3f of a kind at least", all.admitted/all.ended, least)
-	if least < all.admitted/all.ended/2 {
-		t.Errorf("served %.3f of all, %.3f of a kind at least", all.admitted/all.ended, least)
-	}
-}
--- a/admit/load.go
+++ b/admit/load.go
@@ -48,8 +48,6 @@
 	Name string
 	// Usable reports whether the group is neither stalled nor closed.
 	Usable bool
-	// Slow reports whether an instance of the group is slower than usual.
-	Slow bool
 	// Ranks is the number of instances of the group.
 	Ranks int
 	// Running and Waiting are the numbers of requests in the batches and the queues of all ranks.
@@ -75,9 +73,6 @@
 	trend   float64
 	inflow  float64
 	outflow float64
-	// running and ranks are those of the last status, zero if the group wasn't usable.
-	running int
-	ranks   int
 	// unevenness is learned from the median of the samples, step is the last one.
 	unevenness float64
 	step       time.Duration
--- a/admit/room.go
+++ b/admit/room.go
@@ -29,10 +29,6 @@
 	// maxWait the share of the aim that a request may wait in a queue; the rest is for reading its prompt.
 	crowdedStep = 0.95
 	maxWait     = 0.5
-	// crowdedLong is the share of the permitted pause that the next long step may be expected to take before
-	// groups are crowded for requests that others go before, and nearShare that from which they then stay so.
-	crowdedLong = 0.9
-	nearShare   = 0.75
 	// crowdedTime is how long groups count as crowded after they were.
 	crowdedTime = time.Second
 	// maxStatusAge is the age from which a status tells no more what a group holds: twice as long as an
@@ -54,11 +50,8 @@
 	inflow      float64
 	inflowShare float64
 	updatedAt   time.Time
-	// crowdedAt is when groups were last seen to be crowded, yieldedAt the same for requests that others go
-	// before.
+	// crowdedAt is when groups were last seen to be crowded.
 	crowdedAt time.Time
-	yieldedAt time.Time
-	pauses    pauses
 }
 
 // space is the room of the usable groups for one pair of targets.
@@ -77,8 +70,6 @@
 	// crowded reports whether the steps of a group were longer than permitted for a while, or a request
 	// would wait so long in its queue that it couldn't begin in time.
 	crowded bool
-	// near reports whether the next long step will be nearly too long.
-	near bool
 }
 
 // observe records the statuses of the groups and reports whether one of them is new.
@@ -96,14 +87,6 @@
 			r.loads[g.Name] = l
 		}
 		r.current = append(r.current, l)
-		l.running, l.ranks = 0, 0
-		if g.Usable {
-			l.running, l.ranks = g.Running, g.Ranks
-		}
-		if g.Usable && g.Slow {
-			// A slow instance makes all steps longer, whatever runs.
-			r.pauses = pauses{}
-		}
 		changed = l.update(now, terms, *g) || changed
 	}
 	return changed
@@ -120,12 +103,8 @@
 // space returns the room for requests with the given targets in the groups last observed. The room of
 // requests that others go before is what stays in time also while the steps are longest, so that they
 // don't fill a group beyond what the others need then.
-func (r *room) space(now time.Time, terms engineTerms, groups []Group, aim, gap time.Duration, yields bool) space {
+func (r *room) space(terms engineTerms, groups []Group, aim, gap time.Duration, yields bool) space {
 	s := space{}
-	longest := 0.0
-	if yields {
-		longest = r.pauses.at(now)
-	}
 	usable := lo.CountBy(groups, func(g Group) bool { return g.Usable })
 	admitted := r.demand() * r.share / float64(max(usable, 1))
 	for i := range groups {
@@ -140,7 +119,7 @@
 		s.known = true
 		unevenness := l.unevenness
 		if yields {
-			unevenness = max(unevenness, l.longest.unevenness, longest)
+			unevenness = max(unevenness, l.longest.unevenness)
 		}
 		limit := groupLimit(terms, g, unevenness, aim, gap)
 		s.limit += limit
@@ -149,23 +128,11 @@
 		s.inflow += l.inflow
 		s.step = max(s.step, l.step)
 		s.crowded = s.crowded || isCrowded(g, l, aim, gap, yields)
-		if longest > 0 && gap > 0 {
-			next := terms.step(longest, float64(g.Running)/float64(g.Ranks)).Seconds() / gap.Seconds()
-			s.crowded = s.crowded || next > crowdedLong
-			s.near = s.near || next > nearShare
-		}
 	}
 	s.life = terms.life(s.step)
 	return s
 }
 
-// perRank returns how many requests the usable groups run on each rank.
-func (r *room) perRank() float64 {
-	running := lo.SumBy(r.current, func(l *load) int { return l.running })
-	ranks := lo.SumBy(r.current, func(l *load) int { return l.ranks })
-	return float64(running) / float64(max(ranks, 1))
-}
-
 // isCrowded reports whether requests are late because of the number of them.
 func isCrowded(g *Group, l *load, aim, gap time.Duration, yields bool) bool {
 	step := l.usualStep
@@ -210,19 +177,6 @@
 	return r.admitted(s)
 }
 
-// admittedBehind returns the same for requests that others go before. Once they are refused,
-// they are as long as the next long step will be nearly too long.
-func (r *room) admittedBehind(now time.Time, s space) float64 {
-	wasCrowded := now.Sub(r.yieldedAt) <= crowdedTime
-	if s.crowded || wasCrowded && s.near {
-		r.yieldedAt = now
-	}
-	if now.Sub(r.yieldedAt) > crowdedTime {
-		return 1
-	}
-	return r.admitted(s)
-}
-
 // admitted returns the share of requests to be admitted: as many as finish, and as many more or less
 // as the groups lack or exceed.
 func (r *room) admitted(s space) float64 {
--- a/admit/shed.go
+++ b/admit/shed.go
@@ -12,9 +12,6 @@
 	backlogTime = time.Second
 	// maxRetryAfter bounds the time after which a refused caller is asked to come back.
 	maxRetryAfter = 5 * time.Second
-	// precedingShare is the least share of requests by which ranks that precede others are admitted. The floors
-	// of all ranks admit about as much; a smaller share would only spend it regardless of rank.
-	precedingShare = 0.4
 )
 
 // Shedder refuses the requests that the groups of a service have no room for. All entries act on the
@@ -73,7 +70,7 @@
 	if !s.room.observe(now, terms, groups) {
 		return
 	}
-	space := s.room.space(now, terms, groups, s.aim, s.turns.gap(now, maxRank, 0), false)
+	space := s.room.space(terms, groups, s.aim, s.turns.gap(now, maxRank, 0), false)
 	if space.known {
 		s.room.learn(now, space)
 	}
@@ -86,17 +83,6 @@
 	s.work.finished(class, lengthHint, answerTokens)
 }
 
-// Paused records a new longest pause of a stream whose group ran all the while; gap is the longest that its
-// caller accepts.
-func (s *Shedder) Paused(now time.Time, engine *plan.Engine, pause, gap time.Duration) {
-	if !usableEngine(engine) {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.room.pauses.add(now, s.terms(engine), pause, gap, s.room.perRank())
-}
-
 // Decide admits or refuses a request. The groups are all those with a recent status; if none of them
 // is usable, it admits all requests and leaves them to the caller.
 func (s *Shedder) Decide(now time.Time, engine *plan.Engine, groups []Group, d Demand) Decision {
@@ -114,9 +100,6 @@
 	turn := s.turn(now, engine, f.space, f.share, &d)
 	s.turns.add(now, rank, turn, d.Gap)
 	s.aim = d.Aim
-	if turn == turnExcess && f.precedes {
-		f.least = max(f.least, starvationShare*s.turns.whole())
-	}
 	switch {
 	case !f.space.known:
 		return s.admit(now, d, ReasonUnknown)
@@ -138,38 +121,31 @@
 	// share is the share of requests to be admitted, least the probability that this kind has at least.
 	share float64
 	least float64
-	// yields is set if others go before, precedes if others go after.
-	yields   bool
-	precedes bool
+	// yields is set if others go before.
+	yields bool
 }
 
 func (s *Shedder) fit(now time.Time, terms engineTerms, groups []Group, d *Demand) fit {
 	rank := d.rank()
 	gap := s.turns.gap(now, rank, d.Gap)
-	highest, lowest := s.turns.ranksInUse(now)
+	highest, _ := s.turns.ranksInUse(now)
 	if rank <= highest {
-		space := s.room.space(now, terms, groups, d.Aim, gap, false)
+		space := s.room.space(terms, groups, d.Aim, gap, false)
 		return fit{
-			space:    space,
-			share:    s.share(now, space),
-			precedes: rank < lowest,
+			space: space,
+			share: s.share(now, space),
 		}
 	}
 	first := 1.0
 	if !s.ranked {
-		first = s.share(now, s.room.space(now, terms, groups, d.Aim, gap, false))
-	}
-	space := s.room.space(now, terms, groups, d.Aim, gap, true)
-	share := s.shareBehind(now, space)
-	if rank < lowest {
-		share = max(share, precedingShare)
+		first = s.share(now, s.room.space(terms, groups, d.Aim, gap, false))
 	}
+	space := s.room.space(terms, groups, d.Aim, gap, true)
 	return fit{
-		space:    space,
-		share:    min(first, share),
-		least:    s.turns.least(now, rank) * first,
-		yields:   true,
-		precedes: rank < lowest,
+		space:  space,
+		share:  min(first, s.share(now, space)),
+		least:  starvationShare * first,
+		yields: true,
 	}
 }
 
@@ -184,19 +160,7 @@
 	return s.room.admitted(space)
 }
 
-// shareBehind returns the same for requests that others go before.
-func (s *Shedder) shareBehind(now time.Time, space space) float64 {
-	switch {
-	case !space.known:
-		return 1
-	case s.ranked:
-		return s.room.admittedBehind(now, space)
-	}
-	return s.room.admitted(space)
-}
-
 func (s *Shedder) admit(now time.Time, d Demand, reason string) Decision {
-	s.turns.taken++
 	return Decision{
 		Admit:   true,
 		Reason:  reason,
--- a/admit/turn.go
+++ b/admit/turn.go
@@ -6,11 +6,8 @@
 )
 
 const (
-	// maxAccountRank is the lowest priority of accounts that is told apart, classRanks the number of priorities
-	// of routes within each, and maxRank the lowest of both together.
-	maxAccountRank = 7
-	classRanks     = 4
-	maxRank        = (maxAccountRank+1)*classRanks - 1
+	// maxRank is the lowest priority that is told apart.
+	maxRank = 7
 	// starvationShare is the share of the mean admission that each kind of request has at least.
 	starvationShare = 0.5
 	// turnHalfLife is the half-life of the recent numbers of requests by place.
@@ -44,11 +41,6 @@
 	updatedAt time.Time
 	counts    [places]float64
 	usedAt    [maxRank + 1]time.Time
-	// usual is the traffic of each rank, asked and taken the recent numbers of
-	// requests of all ranks and of those that were admitted.
-	usual [maxRank + 1]usual
-	asked float64
-	taken float64
 	// gaps are the shortest pauses that requests have allowed lately, the last of them at gapAt.
 	gaps  [maxRank + 1]time.Duration
 	gapAt [maxRank + 1]time.Time
@@ -61,12 +53,8 @@
 		for i := range t.counts {
 			t.counts[i] *= decay
 		}
-		t.asked *= decay
-		t.taken *= decay
 		t.updatedAt = now
 	}
-	t.asked++
-	t.usual[rank].add(now)
 	t.counts[place(rank, turn)]++
 	if gap > 0 && (t.gaps[rank] == 0 || gap <= t.gaps[rank] || now.Sub(t.gapAt[rank]) > accountHalfLife) {
 		t.gaps[rank] = gap
@@ -109,20 +97,6 @@
 	return floor + (1-floor)*min(left/need, 1)
 }
 
-// least returns the least probability of a rank that others go before: half as often as the whole, and for
-// its usual traffic half as often as those.
-func (t *turns) least(now time.Time, rank int) float64 {
-	return starvationShare * max(t.whole(), t.usual[rank].share(now))
-}
-
-// whole returns the share of all recent requests that was admitted.
-func (t *turns) whole() float64 {
-	if t.asked <= 0 {
-		return 1
-	}
-	return t.taken / t.asked
-}
-
 // floorOf returns the least probability of a place.
 func floorOf(place int, share float64) float64 {
 	if turnOf(place%int(turnsPerRank)) == turnExcess {
--- a/admit/urgency.go
+++ b/admit/urgency.go
@@ -1,9 +1,6 @@
 package admit
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// DefaultUrgency is what engines assume if they are told nothing.
@@ -12,10 +9,12 @@
 	LateUrgency = 8
 	// maxUrgency is the last of all.
 	maxUrgency = 9
-	// firstUrgency is that of the highest of several ranks, and lastTimely that of the lowest one; the others are
-	// spread between them.
+	// firstUrgency is that of the highest of several ranks, and lastTimely that of the lowest one.
 	firstUrgency = 2
 	lastTimely   = 6
+	// urgencyStep is the difference between two ranks. It exceeds one so that engines that let requests
+	// age still keep the order.
+	urgencyStep = 2
 )
 
 // urgency returns the priority for the engine, from 0 to 9: by rank if several are in use, and timely
@@ -34,9 +33,7 @@
 	case late:
 		return LateUrgency
 	}
-	before, all := t.countRanks(now, rank)
-	step := float64(lastTimely-firstUrgency) / float64(all-1)
-	return min(firstUrgency+int(math.Round(step*float64(before))), lastTimely)
+	return min(firstUrgency+urgencyStep*(rank-highest), lastTimely)
 }
 
 // IsLateUrgency reports whether an urgency is that of a late request of any rank.
@@ -56,18 +53,3 @@
 	}
 	return highest, lowest
 }
-
-// countRanks returns how many ranks with recent requests go before the given one, and their number.
-func (t *turns) countRanks(now time.Time, rank int) (int, int) {
-	before, all := 0, 0
-	for i := range t.usedAt {
-		if t.usedAt[i].IsZero() || now.Sub(t.usedAt[i]) > rankMemory {
-			continue
-		}
-		all++
-		if i < rank {
-			before++
-		}
-	}
-	return before, all
-}
--- a/gate/room.go
+++ b/gate/room.go
@@ -2,7 +2,6 @@
 
 import (
 	"expvar"
-	"slices"
 	"sync"
 	"time"
 
@@ -132,7 +131,6 @@
 		out = append(out, admit.Group{
 			Name:     name,
 			Usable:   s.IsUsable(gap),
-			Slow:     isAnySlow(s.Ranks),
 			Ranks:    len(s.Ranks),
 			Running:  s.Running(),
 			Waiting:  s.Waiting(),
@@ -143,11 +141,6 @@
 	return out
 }
 
-// isAnySlow reports whether one of the ranks is slower than usual.
-func isAnySlow(ranks []loads.Rank) bool {
-	return slices.ContainsFunc(ranks, func(r loads.Rank) bool { return r.Pace > 1 })
-}
-
 // observeRoom records the present statuses of the groups of all services with engines.
 func (g *Gate) observeRoom() {
 	snap := g.view.Now()
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -54,7 +54,7 @@
 			}
 			// The deadline of the first event no longer applies.
 			_ = a.conn.SetDeadline(r.nextDeadline())
-			r.recordDelivery(r.g.clock.Now())
+			r.stream.recordDelivery(r.g.clock.Now())
 			r.stream.lastEvent = last
 			r.stream.hasUnnumbered = r.stream.hasUnnumbered || !numbered
 			pending = append(pending[:0], pending[end:]...)
@@ -72,22 +72,11 @@
 }
 
 // recordDelivery records that events were forwarded at now.
-func (r *request) recordDelivery(now time.Time) {
-	if r.stream.recordDelivery(now) && r.sends == 1 && r.needsRoom() {
-		r.g.shedders.of(r.service.Name).Paused(now, r.service.Engine, r.stream.maxPause, r.route.Gap)
-	}
-}
-
-// recordDelivery records that events were forwarded at now, and reports whether the pause before them is
-// the longest so far.
-func (p *streamProgress) recordDelivery(now time.Time) bool {
-	longest := false
+func (p *streamProgress) recordDelivery(now time.Time) {
 	if !p.lastAt.IsZero() {
-		longest = now.Sub(p.lastAt) > p.maxPause
 		p.maxPause = max(p.maxPause, now.Sub(p.lastAt))
 	}
 	p.lastAt = now
-	return longest
 }
 
 // disconnectReason returns the reason to log: a failover after silence or a stream that broke off.
