--- a/admit/flood_sim_test.go
+++ b/admit/flood_sim_test.go
@@ -39,7 +39,7 @@
 
 // offer offers requests at the given rate; a refused one comes back once.
 func (f *flood) offer(duration time.Duration, perSecond float64) {
-	f.fleet.run(duration, 0, func() {
+	f.run(duration, 0, func() {
 		statuses := make([]Group, len(f.groups))
 		for i, g := range f.groups {
 			statuses[i] = g.status(string(rune('a' + i)))
