--- a/crash/digest.go
+++ b/crash/digest.go
@@ -11,8 +11,11 @@
 // digestSize is the length of a digest in bytes, long enough to make collisions infeasible.
 const digestSize = 16
 
-// Digest identifies a request by its content; it is the same at every entry and for every retry,
-// and doesn't reveal the content.
+// segmentLabel precedes the ID of a prompt segment, so that no request has the same hash input.
+const segmentLabel = "prompt segment:"
+
+// Digest identifies a request or a prompt segment by its content; it is the same at every entry and
+// for every retry, and doesn't reveal the content.
 type Digest [digestSize]byte
 
 // Request holds the parts of a request that determine its Digest.
@@ -52,6 +55,16 @@
 	return d
 }
 
+// Segment returns the digest of a prompt segment. It doesn't depend on the rest of the request.
+func (h *Hasher) Segment(id string) Digest {
+	mac := hmac.New(sha256.New, h.key)
+	mac.Write([]byte(segmentLabel))
+	mac.Write([]byte(id))
+	var d Digest
+	copy(d[:], mac.Sum(nil))
+	return d
+}
+
 // String returns the digest in hexadecimal.
 func (d Digest) String() string {
 	return hex.EncodeToString(d[:])
--- a/gate/call.go
+++ b/gate/call.go
@@ -15,6 +15,9 @@
 	// unknown.
 	PromptTokens    int
 	MaxAnswerTokens int
+	// Segments holds the IDs of the prompt segments that other requests may share: all but the last,
+	// each once.
+	Segments []string
 	// LengthHint is the caller's estimate of the tokens to generate, zero if unknown.
 	LengthHint int
 }
--- a/gate/ends.go
+++ b/gate/ends.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 
+	"github.com/samber/lo"
+
 	"geraniumpass/core"
 	"geraniumpass/crash"
 )
@@ -41,7 +43,7 @@
 		r.g.crashes.RecordTermination(r.contentDigest(), r.account, in.Start(), certain)
 	}
 	r.g.log.Info("instance closed the connection before the end of its answer", "id", r.call.ID, "digest", r.contentDigest().String(), "account", r.account,
-		"instance", in.ID, "born", in.StartedAt, "ended", terminated)
+		"segments", r.segmentDigests(), "instance", in.ID, "born", in.StartedAt, "ended", terminated)
 }
 
 // isCrashing reports whether the request must not be sent any more because instances terminate when
@@ -69,3 +71,11 @@
 	}
 	return r.digest
 }
+
+// segmentDigests returns the digests of the prompt segments that other requests may share.
+func (r *request) segmentDigests() []crash.Digest {
+	if r.segments == nil {
+		r.segments = lo.Map(r.call.Segments, func(id string, _ int) crash.Digest { return r.g.hasher.Segment(id) })
+	}
+	return r.segments
+}
--- a/gate/request.go
+++ b/gate/request.go
@@ -61,6 +61,8 @@
 	// digest identifies repetitions of the request; it is valid once hashed is set.
 	digest crash.Digest
 	hashed bool
+	// segments holds the digests of call.Segments once they are known.
+	segments []crash.Digest
 	// delayed is the set of the groups that the present pick avoids because of the time of their steps.
 	delayed map[string]bool
 	// closed is set once all instances were known to belong to closed groups.
