Block prompt segments that crash the instances which begin to answer them

Callers saw streams refused for 30 s on end: one segment in the prompts of some requests crashed each engine that began them, and each crash closed its group for four seconds.

Cause: what crashes an instance was identified by the digest of the whole request.

Terminations now count against each segment of the requests whose answers were not in progress, all but the last segment, at all entries over the same records. A segment is blocked if it was at three or more, over a second or longer, and if that is too unlikely by chance (under 1 in 100), given how common it is among this entry's requests and how many requests each instance had. So a first segment that all prompts share is never blocked for being at each crash, and what only accompanies a blocked segment is not either. An answer that made progress and was sent after a termination clears its segments of it; one that began before proves nothing, since a segment may become fatal. Entries that have seen few requests follow the others.

Refused at once with 502, without Retry-After: no bytes are sent, and the caller has nothing to come back for.

--- a/crash/end.go
+++ b/crash/end.go
@@ -6,7 +6,8 @@
 	"geraniumpass/core"
 )
 
-// Termination records that an instance terminated while it was running a request.
+// Termination records that an instance terminated while it was running a request, or a request whose
+// prompt has a segment.
 type Termination struct {
 	Digest Digest `json:"digest" cbor:"1,keyasint"`
 	// Account is the name of the request's client account, empty if it has none.
@@ -24,11 +25,32 @@
 	Uncertain bool `json:"unsure,omitempty" cbor:"9,keyasint,omitempty"`
 	// Cleared is true once the request is known not to have caused the termination.
 	Cleared bool `json:"cleared,omitempty" cbor:"6,keyasint,omitempty"`
+	// Segment is true if Digest identifies a prompt segment instead of a request.
+	Segment bool `json:"segment,omitempty" cbor:"10,keyasint,omitempty"`
+	// Unanswered is true for a request that has segments and whose answer was not in progress.
+	Unanswered bool `json:"unanswered,omitempty" cbor:"11,keyasint,omitempty"`
+	// Blocked is true if an entry with enough traffic to judge refuses requests with the segment.
+	Blocked bool `json:"blocked,omitempty" cbor:"12,keyasint,omitempty"`
 	// Age is the time since the termination was last confirmed; it is set when the record is sent
 	// to another process.
 	Age time.Duration `json:"-" cbor:"7,keyasint,omitempty"`
 }
 
+// Run is a request that an instance was running when it terminated.
+type Run struct {
+	Digest Digest
+	// Account is the name of the request's client account, empty if it has none.
+	Account string
+	Start   core.Start
+	// SentAt is when the request was sent; if zero, a termination within a second of another one of the
+	// same incarnation is taken for the same.
+	SentAt time.Time
+	// Certain is false if the instance may only have been unreachable.
+	Certain bool
+	// Segments are those of the prompt that may be the cause, none if the answer was in progress.
+	Segments []Digest
+}
+
 // TerminationKey identifies a termination of an incarnation.
 type TerminationKey struct {
 	Start      core.Start
--- /dev/null
+++ b/crash/popularity.go
@@ -0,0 +1,57 @@
+package crash
+
+import "time"
+
+const (
+	// popularityWindow is the time over which requests are counted; shares are those of the current
+	// window and the one before it.
+	popularityWindow = time.Minute
+	// maxCountedSegments bounds the segments counted in a window.
+	maxCountedSegments = 4096
+)
+
+// popularity counts which share of the requests have a segment.
+type popularity struct {
+	endsAt   time.Time
+	current  tally
+	previous tally
+}
+
+type tally struct {
+	requests  int
+	bySegment map[Digest]int
+}
+
+// add counts a request with the given segments.
+func (p *popularity) add(segments []Digest, now time.Time) {
+	p.advance(now)
+	p.current.requests++
+	for _, d := range segments {
+		if _, ok := p.current.bySegment[d]; ok || len(p.current.bySegment) < maxCountedSegments {
+			p.current.bySegment[d]++
+		}
+	}
+}
+
+func (p *popularity) advance(now time.Time) {
+	if now.Before(p.endsAt) {
+		return
+	}
+	p.previous = p.current
+	if now.Sub(p.endsAt) >= popularityWindow {
+		p.previous = tally{}
+	}
+	p.current = tally{bySegment: make(map[Digest]int)}
+	p.endsAt = now.Add(popularityWindow)
+}
+
+func (p *popularity) requests() int {
+	return p.current.requests + p.previous.requests
+}
+
+// share returns the estimated share of requests that have a segment. It lies between zero and one for
+// any number of requests seen.
+func (p *popularity) share(d Digest) float64 {
+	n := p.current.bySegment[d] + p.previous.bySegment[d]
+	return float64(n+1) / float64(p.requests()+2)
+}
--- a/crash/registry.go
+++ b/crash/registry.go
@@ -1,7 +1,9 @@
 package crash
 
 import (
+	"cmp"
 	"expvar"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,6 +37,11 @@
 	// uncleared is the number of uncleared terminations per incarnation.
 	uncleared map[core.Start]int
 	completed *completions
+	// popularity counts the requests of this entry by segment.
+	popularity popularity
+	// judgedSeq and judgedAt are the sequence number and the time at which segments were last judged.
+	judgedSeq int64
+	judgedAt  time.Time
 	seq       int64
 	// changed is closed on the next change, localChanged on the next change of a local record.
 	changed      chan struct{}
@@ -57,25 +64,36 @@
 // RecordTermination records that an incarnation terminated while it was running a request of an
 // account; certain is false if the instance may only have been unreachable.
 func (g *Registry) RecordTermination(d Digest, account string, start core.Start, certain bool) {
+	g.RecordRun(Run{
+		Digest:  d,
+		Account: account,
+		Start:   start,
+		Certain: certain,
+	})
+}
+
+// RecordRun records that an incarnation terminated during a run, against the request and against its
+// segments.
+func (g *Registry) RecordRun(run Run) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
 	e := Termination{
-		Digest:    d,
-		Account:   account,
-		Instance:  start.ID,
-		StartedAt: start.StartedAt,
-		Time:      now.UnixMilli(),
-		Uncertain: !certain,
-	}
-	if s := g.suspects[d]; s != nil {
-		e.Recurrence = s.recurrence(e, now)
+		Digest:     run.Digest,
+		Account:    run.Account,
+		Instance:   run.Start.ID,
+		StartedAt:  run.Start.StartedAt,
+		Recurrence: g.recurrence(run.Start, run.SentAt, now),
+		Time:       now.UnixMilli(),
+		Uncertain:  !run.Certain,
+		Unanswered: len(run.Segments) > 0,
 	}
 	counts.Add("ends_seen", 1)
 	if r := g.apply(e, now, true); r != nil {
-		g.log.Warn("instance terminated while running a request", "digest", d.String(), "account", account, "instance", start.ID, "born", start.StartedAt,
-			"sure", certain, "cleared", r.Cleared, "refused", g.refused(g.suspects[d]))
+		g.log.Warn("instance terminated while running a request", "digest", e.Digest.String(), "account", e.Account, "instance", e.Instance, "born", e.StartedAt,
+			"sure", run.Certain, "cleared", r.Cleared, "refused", g.refused(g.suspects[e.Digest]))
 	}
+	g.recordSegments(run.Segments, e, now)
 }
 
 // Refuses reports whether a request must not be sent to any instance.
@@ -83,7 +101,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.suspects[d]
-	if s == nil || !g.refused(s) {
+	if s == nil || s.segment || !g.refused(s) {
 		return false
 	}
 	counts.Add("refused", 1)
@@ -125,11 +143,17 @@
 	return g.list(func(r *record) bool { return r.seq > after }), g.seq
 }
 
-// Local returns the records that this process publishes.
+// Local returns the records that this process publishes, the most recently confirmed ones if there are
+// more than maxPublished.
 func (g *Registry) Local() []Termination {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.list(func(r *record) bool { return r.local })
+	local := g.list(func(r *record) bool { return r.local })
+	if len(local) > maxPublished {
+		slices.SortFunc(local, func(a, b Termination) int { return cmp.Compare(a.Age, b.Age) })
+		local = local[:maxPublished]
+	}
+	return local
 }
 
 // Changed returns a channel that is closed when a record changes.
@@ -176,7 +200,7 @@
 	}
 	r := s.terminations[e.Key()]
 	switch {
-	case r == nil && len(s.terminations) >= maxTerminations && !s.evictCleared():
+	case r == nil && !g.makeRoom(s):
 		return nil
 	case r == nil:
 		r = &record{
@@ -191,7 +215,7 @@
 		if !e.Cleared && g.completed.has(e.Digest, now) {
 			g.clearAll(s, now)
 		}
-		if g.refused(s) {
+		if !s.segment && g.refused(s) {
 			g.log.Warn("refusing request that coincided with instance terminations", "digest", e.Digest.String(), "account", e.Account, "ends", len(s.uncleared()))
 		}
 		return r
@@ -199,6 +223,8 @@
 		g.uncountTermination(r)
 		r.Cleared = true
 		g.log.Info("request cleared of an instance termination by another process", "digest", e.Digest.String(), "instance", e.Instance, "born", e.StartedAt)
+	case e.Blocked && !r.Blocked:
+		r.Blocked = true
 	case local && !r.local, confirmed.Sub(r.confirmed) > confirmationSlack:
 	default:
 		return nil
--- a/crash/suspect.go
+++ b/crash/suspect.go
@@ -1,6 +1,10 @@
 package crash
 
-import "time"
+import (
+	"time"
+
+	"geraniumpass/core"
+)
 
 // maxTerminations bounds the terminations kept per request.
 const maxTerminations = 8
@@ -17,11 +21,15 @@
 	local bool
 }
 
-// suspect is a request that was running on instances when they terminated.
+// suspect is a request that was running on instances when they terminated, or a segment of such
+// requests.
 type suspect struct {
 	digest       Digest
 	account      string
+	segment      bool
 	terminations map[TerminationKey]*record
+	// blocked is true for a segment that was judged to be the cause.
+	blocked bool
 }
 
 // lastConfirmed returns when a termination of the request was last confirmed.
@@ -62,19 +70,27 @@
 	return true
 }
 
-// recurrence returns the Recurrence of a new termination. If a termination of the same incarnation
-// was observed within correlationWindow, it returns that one's, because several entries observe the
-// same termination.
-func (s *suspect) recurrence(e Termination, now time.Time) int {
-	next := 0
-	for key, r := range s.terminations {
-		if key.Start != e.Key().Start {
-			continue
-		}
-		if now.Sub(r.observed) < correlationWindow {
-			return key.Recurrence
+// recurrence returns the Recurrence of a termination that is observed now, by a request sent at the
+// given time. If one of the same incarnation was observed within correlationWindow, it is that one's,
+// because several requests and entries observe the same termination; it is another one if the request
+// was sent later.
+func (g *Registry) recurrence(start core.Start, sentAt, now time.Time) int {
+	var last *record
+	for _, s := range g.suspects {
+		for key, r := range s.terminations {
+			if key.Start != start || last != nil && r.Recurrence < last.Recurrence {
+				continue
+			}
+			if last == nil || r.Recurrence > last.Recurrence || r.observed.Before(last.observed) {
+				last = r
+			}
 		}
-		next = max(next, key.Recurrence+1)
 	}
-	return next
+	switch {
+	case last == nil:
+		return 0
+	case now.Sub(last.observed) < correlationWindow && !last.observed.Before(sentAt):
+		return last.Recurrence
+	}
+	return last.Recurrence + 1
 }
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -42,6 +42,10 @@
 	reuseConn bool
 	// verified is set once the instance has begun a verified answer.
 	verified bool
+	// deliveries is how often events of the answer have been forwarded.
+	deliveries int
+	// sentAt is when the request was sent.
+	sentAt time.Time
 	// disconnected is set when the instance closed the connection before the end of its answer.
 	disconnected bool
 	departure    *departure
@@ -75,6 +79,7 @@
 	}
 	a.r.sends++
 	sent := r.g.clock.Now()
+	a.sentAt = sent
 	a.trackDeparture()
 	defer r.g.departures.remove(a.departure)
 	r.g.loads.addWaiting(a.instance.Start(), sent)
--- a/gate/ends.go
+++ b/gate/ends.go
@@ -7,7 +7,6 @@
 
 	"github.com/samber/lo"
 
-	"geraniumpass/core"
 	"geraniumpass/crash"
 )
 
@@ -28,9 +27,11 @@
 }
 
 // recordDisconnect checks whether an instance that closed its connection has terminated, and if so
-// counts that against the request. Instances that were leaving terminate as planned. When a group
-// breaks, its other ranks close their connections although their instances are alive.
-func (r *request) recordDisconnect(in core.Instance) {
+// counts that against the request, and against the segments of its prompt unless the answer was in
+// progress. Instances that were leaving terminate as planned. When a group breaks, its other ranks close
+// their connections although their instances are alive.
+func (r *request) recordDisconnect(a *attempt) {
+	in := a.instance
 	row, listed := r.g.view.Now().Instance(in.ID)
 	if !listed || row.Leaving {
 		return
@@ -40,17 +41,35 @@
 		terminated, certain = r.g.hasTerminated(in)
 	}
 	if terminated {
-		r.g.crashes.RecordTermination(r.contentDigest(), r.account, in.Start(), certain)
+		run := crash.Run{
+			Digest:  r.contentDigest(),
+			Account: r.account,
+			Start:   in.Start(),
+			SentAt:  a.sentAt,
+			Certain: certain,
+		}
+		if !a.isProgressing() {
+			run.Segments = r.segmentDigests()
+		}
+		r.g.crashes.RecordRun(run)
 	}
 	r.g.log.Info("instance closed the connection before the end of its answer", "id", r.call.ID, "digest", r.contentDigest().String(), "account", r.account,
 		"segments", r.segmentDigests(), "instance", in.ID, "born", in.StartedAt, "ended", terminated)
 }
 
-// isCrashing reports whether the request must not be sent any more because instances terminate when
-// they run it. Its callers retry it at any entry, and every instance that begins it terminates and
-// breaks its group, so that the group serves nobody else for as long as the retries continue.
-func (r *request) isCrashing() bool {
-	return r.g.crashes.Refuses(r.contentDigest())
+// crashReason returns why the request must not be sent any more, empty if it may be: instances
+// terminate when they run it, or any request whose prompt has one of its segments. Such requests come
+// at any entry, and every instance that begins one terminates and breaks its group, so that the group
+// serves nobody else for as long as they come.
+func (r *request) crashReason() string {
+	if r.g.crashes.Refuses(r.contentDigest()) {
+		return "ends_instances"
+	}
+	if d, blocked := r.g.crashes.BlockedSegment(r.segmentDigests()); blocked {
+		r.g.log.Info("request has a blocked segment", "id", r.call.ID, "segment", d.String())
+		return "segment_ends_instances"
+	}
+	return ""
 }
 
 // contentDigest returns the digest that identifies repetitions of the request.
@@ -74,7 +93,7 @@
 
 // segmentDigests returns the digests of the prompt segments that other requests may share.
 func (r *request) segmentDigests() []crash.Digest {
-	if r.segments == nil {
+	if r.segments == nil && len(r.call.Segments) > 0 {
 		r.segments = lo.Map(r.call.Segments, func(id string, _ int) crash.Digest { return r.g.hasher.Segment(id) })
 	}
 	return r.segments
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -63,8 +63,8 @@
 		if r.nextDeadline().Sub(r.g.clock.Now()) < minAttemptTime {
 			break
 		}
-		if r.isCrashing() {
-			return r.failCrashing()
+		if reason := r.crashReason(); reason != "" {
+			return r.failCrashing(reason)
 		}
 		in, ok := r.pick()
 		if !ok {
@@ -127,15 +127,15 @@
 	return r.reject(r.reason, r.retryAfter(wait))
 }
 
-// failCrashing rejects a request that crashes the instances that run it. An earlier send of it has
+// failCrashing rejects a request that crashes the instances that run it. An earlier send of it may have
 // run, if not one of this attempt, so the answer must not say that it was not executed, and it
 // carries no Retry-After.
-func (r *request) failCrashing() int {
+func (r *request) failCrashing(reason string) int {
 	r.g.log.Info("request not sent because instances terminate when they run it", "id", r.call.ID, "digest", r.contentDigest().String(), "account", r.account)
 	if r.stream.started {
 		return statusAborted
 	}
-	return r.fail(http.StatusBadGateway, "ends_instances")
+	return r.fail(http.StatusBadGateway, reason)
 }
 
 // retryAfter returns the Retry-After of a rejected caller; wait is how long every instance stays
@@ -183,7 +183,7 @@
 	}
 	v, status := a.run()
 	if v == verdictLost && a.disconnected {
-		r.recordDisconnect(in)
+		r.recordDisconnect(a)
 	}
 	now := r.g.clock.Now()
 	switch v {
@@ -191,6 +191,7 @@
 		r.recordAnswer(in, status, now)
 		if status >= 200 && status < 300 {
 			r.g.crashes.RecordCompletion(r.contentDigest())
+			r.g.crashes.RecordProgress(r.segmentDigests(), a.sentAt)
 		}
 	case verdictLost:
 		if !r.isServiceStalled(now) {
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -98,6 +98,12 @@
 		return status
 	}
 	r.stream.lastEvent = call.LastEvent
+	if len(call.Segments) > 0 {
+		r.g.crashes.CountRequest(r.segmentDigests())
+	}
+	if reason := r.crashReason(); reason != "" {
+		return r.failCrashing(reason)
+	}
 	if status := r.checkRoom(); status != 0 {
 		return status
 	}
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -15,6 +15,9 @@
 	readChunkBytes = 4 << 10
 	// maxEventBytes limits the buffered part of an incomplete event.
 	maxEventBytes = 1 << 20
+	// progressDeliveries is the number of deliveries that show that an instance answers a request: one
+	// that crashes as it begins may still send the first event.
+	progressDeliveries = 2
 )
 
 // eventSeparator separates events (event stream format of the HTML standard).
@@ -52,6 +55,7 @@
 			if !r.deliver(resp, pending[:end]) {
 				return verdictCallerGone, 0
 			}
+			a.recordDelivery()
 			// The deadline of the first event no longer applies.
 			_ = a.conn.SetDeadline(r.nextDeadline())
 			r.stream.recordDelivery(r.g.clock.Now())
@@ -71,6 +75,20 @@
 	}
 }
 
+// recordDelivery records that events were forwarded. The second time shows that the instance outlived
+// the beginning of the answer.
+func (a *attempt) recordDelivery() {
+	a.deliveries++
+	if a.deliveries == progressDeliveries {
+		a.r.g.crashes.RecordProgress(a.r.segmentDigests(), a.sentAt)
+	}
+}
+
+// isProgressing reports whether the instance went on after it had begun to answer.
+func (a *attempt) isProgressing() bool {
+	return a.deliveries >= progressDeliveries
+}
+
 // recordDelivery records that events were forwarded at now.
 func (p *streamProgress) recordDelivery(now time.Time) {
 	if !p.lastAt.IsZero() {
