Don't pass on a stream as complete that ended within an event or before its first

Callers got a stream as complete although its last event was cut, where the body had a length or chunks, and an empty success where a connection without either closed before the first event.

Cause: only answers without a length were looked at for a cut event, and an answer without a length and without bytes counted as a stream of no events. A stream of numbered events now is broken off if bytes follow its last whole event, however framed, and one without a length if it has no event, unless its caller resumes after the last one. Then it is resumed or visibly truncated.

TestStreamEndingWithinAnEventIsBrokenOff failed before in five of its eight cases. Plain answers without a length, HTTP/1.0 and resets (new tests) passed before as well. ./platform and ./gate pass but for the known red test.

--- a/gate/stream.go
+++ b/gate/stream.go
@@ -149,9 +149,7 @@
 func (a *attempt) finishStream(resp *http.Response, remaining []byte, resumed bool) (verdict, int) {
 	r := a.r
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	if (!framed || resumed) && len(remaining) > 0 {
-		// An answer without a length that ends within an event was truncated, and data other than
-		// events from another run doesn't belong to this stream.
+	if r.stream.isBrokenOff(framed, resumed, len(remaining) > 0) {
 		r.reason = "stream_cut"
 		a.disconnected = true
 		return a.orCallerGone(verdictLost), 0
@@ -164,6 +162,18 @@
 	return verdictDone, resp.StatusCode
 }
 
+// isBrokenOff reports whether a stream whose answer has ended was not complete. hasRemainder is set if
+// bytes follow the last whole event; those of another run than the first one don't belong to the stream.
+func (p *streamProgress) isBrokenOff(framed, resumed, hasRemainder bool) bool {
+	isNumbered := p.started && p.lastEvent >= 0 && !p.hasUnnumbered
+	if hasRemainder {
+		return !framed || resumed || isNumbered
+	}
+	// A connection that closes at once looks like an answer without a length and without events. Only a
+	// caller who resumes after the last event gets none.
+	return !framed && !p.started && p.lastEvent < 0
+}
+
 // deliver writes stream data to the caller, preceded by the headers of the first run.
 func (r *request) deliver(resp *http.Response, b []byte) bool {
 	if !r.stream.started {
