Test what guards the judgement of segments against chance, floods and restarts

Mutations had shown that nothing failed without: the latest terminations being kept, starts told apart by when a request was sent (only the test with processes), the number of requests at a crash, the window of popularity, the bound of what is published, and the refusal before room.

--- a/crash/segment_test.go
+++ b/crash/segment_test.go
@@ -203,6 +203,36 @@
 				e.crash(fmt.Sprint("f-", i), true, fatalPrompt, prompt{"first", fmt.Sprint("subject-", 9+i)})
 			}
 		}, []string{"fatal", "also-fatal"}, []string{"first"}},
+		{"a subject in a fifth of the prompts, twelve of them at each crash", func(e entry) {
+			for n := range 200 {
+				e.count(1, prompt{"first", fmt.Sprint("hot-", n%5)})
+			}
+			for i := range 8 {
+				e.clock.Advance(4 * time.Second)
+				var at []prompt
+				for k := range 12 {
+					at = append(at, prompt{"first", fmt.Sprint("hot-", k%5)})
+				}
+				e.crash(fmt.Sprint("i-", i), true, at...)
+			}
+		}, nil, []string{"hot-0", "hot-4", "first"}},
+		{"popular an hour ago", func(e entry) {
+			e.count(200, fatalPrompt)
+			e.clock.Advance(time.Hour)
+			e.mixed(200, 300)
+			e.crashApart(5, 2, fatalPrompt)
+		}, []string{"fatal"}, []string{"first"}},
+		{"present by chance long before it became fatal", func(e entry) {
+			e.mixed(200, 10)
+			for i := range 2 * maxSegmentTerminations {
+				e.clock.Advance(time.Second)
+				e.crash(fmt.Sprint("o-", i), true, prompt{"first", fmt.Sprint("subject-", i%20)})
+				if i < maxSegmentTerminations/2 {
+					e.crash(fmt.Sprint("o-", i), true, prompt{"first", "fatal"}, prompt{"first"}, prompt{"first"}, prompt{"first"}, prompt{"first"})
+				}
+			}
+			e.crashApart(maxSegmentTerminations, 0, fatalPrompt)
+		}, []string{"fatal"}, []string{"first"}},
 		{"fatal no longer after a while", func(e entry) {
 			e.mixed(200, 20)
 			e.crashApart(5, 2, fatalPrompt)
@@ -365,3 +395,68 @@
 		})
 	}
 }
+
+// TestCrashesUnderOneIDAreToldApart guards against a segment that stays admitted because instances
+// restart at once under their IDs and don't tell their starts apart: a request that was sent after a
+// crash has met another start.
+func TestCrashesUnderOneIDAreToldApart(t *testing.T) {
+	e := newEntry(clockwork.NewFakeClock())
+	e.mixed(200, 20)
+	for i := range 5 {
+		sentAt := e.clock.Now()
+		e.clock.Advance(300 * time.Millisecond)
+		for n, p := range []prompt{fatalPrompt, {"first", fmt.Sprint("subject-", i)}} {
+			e.RecordRun(Run{
+				Digest:   digestOf(fmt.Sprint(i, n)),
+				Start:    core.Start{ID: "i-1"},
+				SentAt:   sentAt,
+				Certain:  true,
+				Segments: segmentsOf(p),
+			})
+		}
+		e.clock.Advance(time.Millisecond)
+	}
+	if n := len(e.suspects[segmentsOf(prompt{"fatal"})[0]].terminations); n != 5 {
+		t.Errorf("%d terminations, want 5", n)
+	}
+	if !e.blocks("fatal") || e.blocks("first") {
+		t.Error("fatal segment sent or first segment blocked")
+	}
+}
+
+// TestPublishedRecordsAreBounded guards against a value that the store refuses for its size, so that no
+// other entry learns anything.
+func TestPublishedRecordsAreBounded(t *testing.T) {
+	e := newEntry(clockwork.NewFakeClock())
+	for i := range maxSuspects {
+		for k := range maxTerminations {
+			e.Restore([]Termination{{
+				Digest:   digestOf(fmt.Sprint(i)),
+				Account:  fmt.Sprint("account-", i%20),
+				Instance: fmt.Sprint("i-", k),
+				Cleared:  true,
+			}})
+		}
+	}
+	e.clock.Advance(time.Second)
+	for k := range maxSegmentTerminations {
+		var p prompt
+		for i := range maxRecordedSegments {
+			p = append(p, fmt.Sprint("s-", i))
+		}
+		e.crash(fmt.Sprint("k-", k), true, p)
+	}
+	local := e.Local()
+	if len(local) != maxPublished {
+		t.Errorf("%d records published, want %d", len(local), maxPublished)
+	}
+	latest := 0
+	for _, r := range local {
+		if r.Segment {
+			latest++
+		}
+	}
+	if latest != maxSegmentTerminations*maxRecordedSegments {
+		t.Errorf("%d of the latest records published", latest)
+	}
+}
--- a/gate/room_refuse_test.go
+++ b/gate/room_refuse_test.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"geraniumpass/core"
+	"geraniumpass/crash"
 	"geraniumpass/loads"
 	"geraniumpass/meter"
 	"geraniumpass/plan"
@@ -29,7 +30,7 @@
 	clock, log := clockwork.NewFakeClock(), hclog.NewNullLogger()
 	table := (&plan.Table{
 		Routes: []plan.Route{
-			{Name: "first", Rank: 0, Kind: plan.KindStream, Aim: 400 * time.Millisecond, Gap: 120 * time.Millisecond, Shares: []plan.Share{{Service: "svc", Weight: 1}}},
+			{Name: "first", Prefix: "/first/", Host: "example.com", Rank: 0, Kind: plan.KindStream, Aim: 400 * time.Millisecond, Gap: 120 * time.Millisecond, Shares: []plan.Share{{Service: "svc", Weight: 1}}},
 			{Name: "second", Rank: 1, Kind: plan.KindStream, Aim: 400 * time.Millisecond, Gap: 120 * time.Millisecond, Shares: []plan.Share{{Service: "svc", Weight: 1}}},
 		},
 		Services: []plan.Service{{Name: "svc", Engine: &plan.Engine{Slots: 10, StepMs: 4.84, SequenceMs: 0.435, StepTokens: 7, ReadPerSecond: 74_800, Sets: 12, Prompt: 800, Answer: 160}}},
@@ -84,3 +85,37 @@
 		t.Errorf("urgencies are %v, want the first rank before the second", urgency)
 	}
 }
+
+// TestBlockedSegmentIsRefusedBeforeRoom guards against a caller who is told to come back with a request that
+// is never sent, because the groups happen to have no room for it.
+func TestBlockedSegmentIsRefusedBeforeRoom(t *testing.T) {
+	s := newCrowdedSite()
+	s.gate.dialect = fixedDialect{call: Call{ID: "a-1", Segments: []string{"fatal"}, LastEvent: -1}}
+	for i := range 40 {
+		s.gate.crashes.CountRequest(nil)
+		if i%8 == 0 {
+			s.clock.Advance(4 * time.Second)
+			s.gate.crashes.RecordRun(crash.Run{
+				Start:    core.Start{ID: string(rune('a' + i))},
+				Certain:  true,
+				Segments: []crash.Digest{s.gate.hasher.Segment("fatal")},
+			})
+		}
+	}
+	s.gate.groups.Update(loads.Group{Name: "a", Open: false, Ranks: []loads.Rank{{Start: s.in.Start(), Pace: 1}}})
+	w := httptest.NewRecorder()
+	s.gate.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/first/x", http.NoBody))
+	if w.Code != http.StatusBadGateway || w.Header().Get("Retry-After") != "" {
+		t.Errorf("status %d, %v; want 502 without Retry-After", w.Code, w.Header())
+	}
+}
+
+// fixedDialect reads the same call from each request.
+type fixedDialect struct {
+	Dialect
+	call Call
+}
+
+func (d fixedDialect) Read(http.Header) (Call, error) {
+	return d.call, nil
+}
