--- a/crash/segment_test.go
+++ b/crash/segment_test.go
@@ -204,18 +204,17 @@
 			}
 		}, []string{"fatal", "also-fatal"}, []string{"first"}},
 		{"a subject in a fifth of the prompts, twelve of them at each crash", func(e entry) {
-			for n := range 200 {
-				e.count(1, prompt{"first", fmt.Sprint("hot-", n%5)})
-			}
+			e.count(40, prompt{"first", "hot"})
+			e.count(160, prompt{"first"})
 			for i := range 8 {
 				e.clock.Advance(4 * time.Second)
 				var at []prompt
-				for k := range 12 {
-					at = append(at, prompt{"first", fmt.Sprint("hot-", k%5)})
+				for range 11 {
+					at = append(at, prompt{"first"})
 				}
-				e.crash(fmt.Sprint("i-", i), true, at...)
+				e.crash(fmt.Sprint("i-", i), true, append(at, prompt{"first", "hot"})...)
 			}
-		}, nil, []string{"hot-0", "hot-4", "first"}},
+		}, nil, []string{"hot", "first"}},
 		{"popular an hour ago", func(e entry) {
 			e.count(200, fatalPrompt)
 			e.clock.Advance(time.Hour)
@@ -224,14 +223,25 @@
 		}, []string{"fatal"}, []string{"first"}},
 		{"present by chance long before it became fatal", func(e entry) {
 			e.mixed(200, 10)
-			for i := range 2 * maxSegmentTerminations {
-				e.clock.Advance(time.Second)
-				e.crash(fmt.Sprint("o-", i), true, prompt{"first", fmt.Sprint("subject-", i%20)})
-				if i < maxSegmentTerminations/2 {
-					e.crash(fmt.Sprint("o-", i), true, prompt{"first", "fatal"}, prompt{"first"}, prompt{"first"}, prompt{"first"}, prompt{"first"})
+			for i := range maxSegmentTerminations {
+				at := []prompt{fatalPrompt}
+				for k := range 40 {
+					at = append(at, prompt{"first", fmt.Sprint("subject-", k%20)})
 				}
+				e.clock.Advance(time.Second)
+				e.crash(fmt.Sprint("o-", i), true, at...)
 			}
-			e.crashApart(maxSegmentTerminations, 0, fatalPrompt)
+			e.crashApart(5, 0, fatalPrompt)
+		}, []string{"fatal"}, []string{"first"}},
+		{"callers invent segments between two crashes", func(e entry) {
+			e.mixed(200, 20)
+			e.crashApart(3, 0, fatalPrompt)
+			for i := range maxSegments {
+				e.clock.Advance(10 * time.Millisecond)
+				e.crash("other", true, prompt{"first", fmt.Sprint("invented-", i)})
+			}
+			e.clock.Advance(4 * time.Second)
+			e.crash("last", true, fatalPrompt)
 		}, []string{"fatal"}, []string{"first"}},
 		{"fatal no longer after a while", func(e entry) {
 			e.mixed(200, 20)
--- a/gate/room_refuse_test.go
+++ b/gate/room_refuse_test.go
@@ -30,8 +30,8 @@
 	clock, log := clockwork.NewFakeClock(), hclog.NewNullLogger()
 	table := (&plan.Table{
 		Routes: []plan.Route{
-			{Name: "first", Prefix: "/first/", Host: "example.com", Rank: 0, Kind: plan.KindStream, Aim: 400 * time.Millisecond, Gap: 120 * time.Millisecond, Shares: []plan.Share{{Service: "svc", Weight: 1}}},
-			{Name: "second", Rank: 1, Kind: plan.KindStream, Aim: 400 * time.Millisecond, Gap: 120 * time.Millisecond, Shares: []plan.Share{{Service: "svc", Weight: 1}}},
+			{Name: "first", Rank: 0, Kind: plan.KindStream, Aim: 400 * time.Millisecond, Gap: 120 * time.Millisecond, Shares: []plan.Share{{Service: "svc", Weight: 1}}},
+			{Name: "second", Host: "example.com", Prefix: "/second/", Rank: 1, Kind: plan.KindStream, Aim: 400 * time.Millisecond, Gap: 120 * time.Millisecond, Shares: []plan.Share{{Service: "svc", Weight: 1}}},
 		},
 		Services: []plan.Service{{Name: "svc", Engine: &plan.Engine{Slots: 10, StepMs: 4.84, SequenceMs: 0.435, StepTokens: 7, ReadPerSecond: 74_800, Sets: 12, Prompt: 800, Answer: 160}}},
 	}).Compile()
@@ -102,11 +102,17 @@
 			})
 		}
 	}
-	s.gate.groups.Update(loads.Group{Name: "a", Open: false, Ranks: []loads.Rank{{Start: s.in.Start(), Pace: 1}}})
-	w := httptest.NewRecorder()
-	s.gate.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/first/x", http.NoBody))
-	if w.Code != http.StatusBadGateway || w.Header().Get("Retry-After") != "" {
-		t.Errorf("status %d, %v; want 502 without Retry-After", w.Code, w.Header())
+	for i := range 400 {
+		s.clock.Advance(10 * time.Millisecond)
+		if i%10 == 0 {
+			s.report(130 * time.Millisecond)
+			s.gate.observeRoom()
+		}
+		w := httptest.NewRecorder()
+		s.gate.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/second/x", http.NoBody))
+		if w.Code != http.StatusBadGateway || w.Header().Get("Retry-After") != "" {
+			t.Fatalf("status %d, %v; want 502 without Retry-After", w.Code, w.Header())
+		}
 	}
 }
 
