--- a/gate/room_refuse_test.go
+++ b/gate/room_refuse_test.go
@@ -52,12 +52,19 @@
 	s.gate.groups.Update(loads.Group{Name: "a", Open: true, StepTime: step, Ranks: []loads.Rank{{Start: s.in.Start(), Running: 9, Pace: 1}}})
 }
 
+// newRequest returns a request of the route with the given rank.
+func (s *crowdedSite) newRequest(rank int, w http.ResponseWriter) *request {
+	r := &request{g: s.gate, w: w, snap: s.cache.Now(), route: &s.table.Routes[rank], service: s.table.Service("svc"), receivedAt: s.clock.Now(), deadline: s.clock.Now().Add(8 * time.Second)}
+	r.stream.lastEvent = -1
+	return r
+}
+
 // TestCrowdedGroupRefusesLowerRanks guards against a gate that knows that its groups are crowded and goes
 // on sending them the requests of lower ranks, or tells engines nothing of the ranks. The load is a group
 // whose steps take 130 ms, where callers accept 120.
 func TestCrowdedGroupRefusesLowerRanks(t *testing.T) {
 	s := newCrowdedSite()
-	g, clock, table := s.gate, s.clock, s.table
+	g, clock := s.gate, s.clock
 	refused, urgency := make([]int, 2), make([]int, 2)
 	for i := range 400 {
 		clock.Advance(10 * time.Millisecond)
@@ -67,8 +74,7 @@
 		}
 		for rank := range refused {
 			w := httptest.NewRecorder()
-			r := &request{g: g, w: w, snap: s.cache.Now(), route: &table.Routes[rank], service: table.Service("svc"), receivedAt: clock.Now(), deadline: clock.Now().Add(8 * time.Second)}
-			r.stream.lastEvent = -1
+			r := s.newRequest(rank, w)
 			if status := r.checkRoom(); status != 0 {
 				refused[rank]++
 				if status != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" {
@@ -108,6 +114,7 @@
 			s.report(130 * time.Millisecond)
 			s.gate.observeRoom()
 		}
+		s.newRequest(0, httptest.NewRecorder()).checkRoom()
 		w := httptest.NewRecorder()
 		s.gate.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/second/x", http.NoBody))
 		if w.Code != http.StatusBadGateway || w.Header().Get("Retry-After") != "" {
