--- a/oper/ends.go
+++ b/oper/ends.go
@@ -18,25 +18,25 @@
 // storeTimeout bounds the store calls of one command.
 const storeTimeout = 10 * time.Second
 
-// UnknownDigestError reports that no instance termination counts against a request.
+// UnknownDigestError reports that no instance termination counts against a request or a segment.
 type UnknownDigestError struct {
 	Digest crash.Digest
 }
 
 // Error states the digest.
 func (e *UnknownDigestError) Error() string {
-	return "no instance termination counts against request " + e.Digest.String()
+	return "no instance termination counts against " + e.Digest.String()
 }
 
 func (c *Command) registerTerminations(app *kingpin.Application) {
-	ends := app.Command("ends", "Requests during which instances of the platform terminated.")
+	ends := app.Command("ends", "Requests and prompt segments with which instances of the platform terminated.")
 	address := ends.Flag("store", "Address of the platform's store.").Envar("GERANIUMPASS_STORE").Required().String()
 	ends.Command("list", "List the terminations and whether each counts against its request.").Action(func(*kingpin.ParseContext) error {
 		return c.listTerminations(platform.NewStore(*address))
 	})
-	release := ends.Command("release", "Clear a refused request of its terminations, so that entries forward it again.")
+	release := ends.Command("release", "Clear a refused request or a blocked segment of its terminations, so that entries forward it again.")
 	var d crash.Digest
-	release.Arg("digest", "Digest of the request, from the list command or a log.").Required().SetValue(&digestValue{target: &d})
+	release.Arg("digest", "Digest of the request or the segment, from the list command or a log.").Required().SetValue(&digestValue{target: &d})
 	release.Action(func(*kingpin.ParseContext) error {
 		return c.clearRequest(platform.NewStore(*address), d)
 	})
@@ -68,6 +68,7 @@
 	for reporter, terminations := range byReporter {
 		for _, e := range terminations {
 			rows = append(rows, []string{
+				kindOf(e),
 				e.Digest.String(),
 				e.Account,
 				e.Instance,
@@ -78,11 +79,19 @@
 		}
 	}
 	sort.Slice(rows, func(i, j int) bool { return fmt.Sprint(rows[i]) < fmt.Sprint(rows[j]) })
-	return c.printTable(byReporter, []string{"REQUEST", "ACCOUNT", "INSTANCE", "ENDED", "COUNTS", "STATED BY"}, rows)
+	return c.printTable(byReporter, []string{"KIND", "DIGEST", "ACCOUNT", "INSTANCE", "ENDED", "COUNTS", "STATED BY"}, rows)
+}
+
+// kindOf returns what a termination is attributed to.
+func kindOf(e crash.Termination) string {
+	if e.Segment {
+		return "segment"
+	}
+	return "request"
 }
 
 // clearRequest records, under the operator's name, that the known terminations attributed to a
-// request were not caused by it.
+// request or a prompt segment were not caused by it.
 func (c *Command) clearRequest(st *platform.Store, d crash.Digest) error {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
@@ -96,7 +105,7 @@
 		return &UnknownDigestError{Digest: d}
 	}
 	if c.DryRun {
-		fmt.Fprintf(c.Out, "would clear request %s of %d terminations\n", d, len(cleared))
+		fmt.Fprintf(c.Out, "would clear %s of %d terminations\n", d, len(cleared))
 		return nil
 	}
 	own, err := st.Get(ctx, platform.TerminationsKey(name))
@@ -114,7 +123,7 @@
 	if _, err := st.Swap(ctx, platform.TerminationsKey(name), data, own.Modified, lease); err != nil {
 		return err
 	}
-	fmt.Fprintf(c.Out, "request %s cleared of %d terminations\n", d, len(cleared))
+	fmt.Fprintf(c.Out, "%s cleared of %d terminations\n", d, len(cleared))
 	return nil
 }
 
--- a/oper/ends_test.go
+++ b/oper/ends_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"strings"
 	"testing"
@@ -16,6 +17,7 @@
 	"geraniumpass/crash"
 	"geraniumpass/platform"
 	"geraniumpass/platform/emul"
+	"geraniumpass/store"
 )
 
 // TestReleaseClearsRequest guards against a request staying refused after an operator released it:
@@ -79,6 +81,55 @@
 	}
 }
 
+// TestBlockedSegmentIsListedAndReleased guards against a blocked prompt segment that operators can't tell
+// from a request, or can't release.
+func TestBlockedSegmentIsListedAndReleased(t *testing.T) {
+	st := emul.NewStore("127.0.0.1:0")
+	if err := st.Server.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(st.Close)
+	clock, log := clockwork.NewRealClock(), hclog.NewNullLogger()
+	fatal := crash.NewHasher(nil).Segment("fa7a1")
+	entry := crash.New(clock, log)
+	for range 40 {
+		entry.CountRequest(nil)
+	}
+	for i := range 5 {
+		entry.Restore([]crash.Termination{{
+			Digest:   fatal,
+			Segment:  true,
+			Instance: string(rune('a' + i)),
+			Age:      time.Duration(5-i) * 4 * time.Second,
+		}})
+	}
+	if _, blocked := entry.BlockedSegment([]crash.Digest{fatal}); !blocked {
+		t.Fatal("the segment is not blocked before the release")
+	}
+	data, err := json.Marshal(entry.Local())
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := st.Server.Address()
+	if _, err := platform.NewStore(address).Swap(context.Background(), platform.TerminationsKey("front-1"), data, 0, store.Lease(0)); err != nil {
+		t.Fatal(err)
+	}
+	if out, err := run(t, address, "list"); err != nil || strings.Count(out, "segment") != 5 || strings.Count(out, fatal.String()) != 5 {
+		t.Errorf("list: %v, %s", err, out)
+	}
+	if out, err := run(t, address, "release", fatal.String(), "--who", "ann"); err != nil || !strings.Contains(out, "5 terminations") {
+		t.Errorf("release: %v, %s", err, out)
+	}
+	source := platform.NewSource(platform.NewStore(address), log)
+	source.SetTerminationSink(entry)
+	if _, err := source.Load(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if _, blocked := entry.BlockedSegment([]crash.Digest{fatal}); blocked {
+		t.Error("the segment is blocked after the release")
+	}
+}
+
 func run(t *testing.T, address string, args ...string) (string, error) {
 	t.Helper()
 	var out bytes.Buffer
