Block a fatal segment where most of its requests arrive, and keep what judges it

An entry that gets most of the requests with a segment took it for common and went on sending it. It now blocks on half of the evidence where another entry is convinced.

A segment seen once less than another by chance explained it away, so that the fatal one stayed admitted. Now a segment explains only those that three more requests have; those that can't be told apart are all blocked.

The number of unanswered requests at a crash was taken from their records, of which 64 an account are kept. In a long series it fell to none, and each bystander looked unlikely to be there by chance. It has a bounded record of its own.

--- /dev/null
+++ b/crash/judge.go
@@ -0,0 +1,156 @@
+package crash
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// minSegmentWeight is the least total weight of the terminations that a segment is blocked for. One
+	// request and its repetition coincide with two.
+	minSegmentWeight = 3.0
+	// minSurprise is the negative logarithm of the probability below which a segment's presence at so
+	// many terminations is not taken for chance.
+	minSurprise = 4.6
+	// minMoreRequests is how many more requests must have a segment than another one for it to be known
+	// to occur without that one.
+	minMoreRequests = 3
+	// minJudgedRequests is the number of requests from which this entry knows how common segments
+	// are. An entry that has seen fewer relies on the others.
+	minJudgedRequests = 20
+)
+
+// segmentTerminations returns the terminations that count against any segment and when each was
+// observed first.
+func (g *Registry) segmentTerminations() map[TerminationKey]time.Time {
+	out := make(map[TerminationKey]time.Time)
+	for _, s := range g.suspects {
+		if !s.segment {
+			continue
+		}
+		for key, r := range s.terminations {
+			if at, ok := out[key]; !ok || r.observed.Before(at) {
+				out[key] = r.observed
+			}
+		}
+	}
+	return out
+}
+
+// charge is a segment with the evidence against it.
+type charge struct {
+	*suspect
+	keys     map[TerminationKey]float64
+	surprise float64
+	// requests is the number of this entry's requests with the segment.
+	requests int
+}
+
+// judgeSegments decides which segments are blocked. The most surprising ones explain the terminations
+// that they were present at; a segment that accompanies them and occurs without them is not blocked, as
+// the common segments of fatal prompts are. Those that can't be told apart are all blocked.
+func (g *Registry) judgeSegments() {
+	all := g.segmentTerminations()
+	var charges []charge
+	for _, s := range g.suspects {
+		if !s.segment {
+			continue
+		}
+		if c, ok := g.chargeOf(s, all); ok {
+			charges = append(charges, c)
+			continue
+		}
+		s.blocked = false
+	}
+	slices.SortFunc(charges, func(a, b charge) int { return cmp.Compare(b.surprise, a.surprise) })
+	var blocked []charge
+	for _, c := range charges {
+		was := c.blocked
+		c.blocked = c.unexplainedWeight(blocked) >= minSegmentWeight && (was || g.isConvicted(c))
+		if !c.blocked {
+			continue
+		}
+		blocked = append(blocked, c)
+		if !was {
+			g.block(c)
+		}
+	}
+}
+
+// chargeOf returns the evidence against a segment; ok is false if it is too little to judge.
+func (g *Registry) chargeOf(s *suspect, all map[TerminationKey]time.Time) (c charge, ok bool) {
+	c = charge{
+		suspect:  s,
+		keys:     make(map[TerminationKey]float64),
+		requests: g.popularity.count(s.digest),
+	}
+	var first, last time.Time
+	for _, r := range s.uncleared() {
+		weight := 1.0
+		if r.Uncertain {
+			weight = reducedWeight
+		}
+		c.keys[r.Key()] = weight
+		if first.IsZero() || r.observed.Before(first) {
+			first = r.observed
+		}
+		last = later(last, r.observed)
+	}
+	if c.unexplainedWeight(nil) < minSegmentWeight || last.Sub(first) < correlationWindow {
+		return c, false
+	}
+	share := g.popularity.share(s.digest)
+	var present, absent []float64
+	for key, observed := range all {
+		p := 1 - math.Pow(1-share, float64(g.unansweredAt(key)))
+		if _, own := c.keys[key]; own {
+			present = append(present, p)
+		} else if !observed.Before(first) && !observed.After(last) {
+			absent = append(absent, p)
+		}
+	}
+	c.surprise = surprise(present, absent)
+	return c, true
+}
+
+// unexplainedWeight returns the total weight of the terminations that blocked segments don't explain. A
+// segment is explained only by those that are seen less often.
+func (c charge) unexplainedWeight(blocked []charge) float64 {
+	sum := 0.0
+	for key, weight := range c.keys {
+		explained := slices.ContainsFunc(blocked, func(other charge) bool {
+			_, ok := other.keys[key]
+			return ok && c.requests >= other.requests+minMoreRequests
+		})
+		if !explained {
+			sum += weight
+		}
+	}
+	return sum
+}
+
+// isConvicted reports whether the evidence suffices to block a segment. An entry with too few requests
+// to know how common segments are follows the others. So does one that has half of the evidence: a
+// segment seems common where most of its requests arrive.
+func (g *Registry) isConvicted(c charge) bool {
+	blocked := slices.ContainsFunc(c.uncleared(), func(r *record) bool { return r.Blocked })
+	switch {
+	case g.popularity.requests() < minJudgedRequests:
+		return blocked
+	case blocked:
+		return c.surprise >= minSurprise/2
+	}
+	return c.surprise >= minSurprise
+}
+
+// block marks the terminations of a segment as those of a blocked one, for entries that can't judge.
+func (g *Registry) block(c charge) {
+	for _, r := range c.uncleared() {
+		r.Blocked = true
+		g.touch(r, r.confirmed, true)
+	}
+	g.log.Warn("blocking requests whose prompts have a segment that coincided with instance terminations",
+		"segment", c.digest.String(), "ends", len(c.keys), "surprise", math.Round(c.surprise*10)/10, "share", g.popularity.share(c.digest))
+}
--- a/crash/popularity.go
+++ b/crash/popularity.go
@@ -52,6 +52,9 @@
 // share returns the estimated share of requests that have a segment. It lies between zero and one for
 // any number of requests seen.
 func (p *popularity) share(d Digest) float64 {
-	n := p.current.bySegment[d] + p.previous.bySegment[d]
-	return float64(n+1) / float64(p.requests()+2)
+	return float64(p.count(d)+1) / float64(p.requests()+2)
+}
+
+func (p *popularity) count(d Digest) int {
+	return p.current.bySegment[d] + p.previous.bySegment[d]
 }
--- a/crash/registry.go
+++ b/crash/registry.go
@@ -35,8 +35,9 @@
 	mu       sync.Mutex
 	suspects map[Digest]*suspect
 	// uncleared is the number of uncleared terminations per incarnation.
-	uncleared map[core.Start]int
-	completed *completions
+	uncleared  map[core.Start]int
+	completed  *completions
+	unanswered map[TerminationKey]*unanswered
 	// popularity counts the requests of this entry by segment.
 	popularity popularity
 	// judgedSeq and judgedAt are the sequence number and the time at which segments were last judged.
@@ -56,6 +57,7 @@
 		suspects:     make(map[Digest]*suspect),
 		uncleared:    make(map[core.Start]int),
 		completed:    newCompletions(),
+		unanswered:   make(map[TerminationKey]*unanswered),
 		changed:      make(chan struct{}),
 		localChanged: make(chan struct{}),
 	}
@@ -175,6 +177,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
+	g.sweepUnanswered(now)
 	for d, s := range g.suspects {
 		for key, r := range s.terminations {
 			if now.Sub(r.confirmed) >= Retention {
@@ -194,6 +197,9 @@
 	if e.Age < 0 || e.Age >= Retention {
 		return nil
 	}
+	if e.Unanswered {
+		g.countUnanswered(e, confirmed)
+	}
 	s := g.suspects[e.Digest]
 	if s == nil {
 		s = g.addSuspect(e)
