--- a/crash/end.go
+++ b/crash/end.go
@@ -29,7 +29,7 @@
 	Segment bool `json:"segment,omitempty" cbor:"10,keyasint,omitempty"`
 	// Unanswered is true for a request that has segments and whose answer was not in progress.
 	Unanswered bool `json:"unanswered,omitempty" cbor:"11,keyasint,omitempty"`
-	// Blocked is true if an entry with enough traffic to judge refuses requests with the segment.
+	// Blocked is true if an entry with enough traffic to evaluate it refuses requests with the segment.
 	Blocked bool `json:"blocked,omitempty" cbor:"12,keyasint,omitempty"`
 	// Age is the time since the termination was last confirmed; it is set when the record is sent
 	// to another process.
--- a/crash/judge.go
+++ b/crash/evaluate.go
@@ -11,15 +11,15 @@
 	// minSegmentWeight is the least total weight of the terminations that a segment is blocked for. One
 	// request and its repetition coincide with two.
 	minSegmentWeight = 3.0
-	// minSurprise is the negative logarithm of the probability below which a segment's presence at so
+	// minSurprisal is the negative logarithm of the probability below which a segment's presence at so
 	// many terminations is not taken for chance.
-	minSurprise = 4.6
+	minSurprisal = 4.6
 	// minMoreRequests is how many more requests must have a segment than another one for it to be known
 	// to occur without that one.
 	minMoreRequests = 3
-	// minJudgedRequests is the number of requests from which this entry knows how common segments
+	// minEvaluatedRequests is the number of requests from which this entry knows how common segments
 	// are. An entry that has seen fewer relies on the others.
-	minJudgedRequests = 20
+	minEvaluatedRequests = 20
 )
 
 // segmentTerminations returns the terminations that count against any segment and when each was
@@ -39,36 +39,36 @@
 	return out
 }
 
-// charge is a segment with the evidence against it.
-type charge struct {
+// evidence is a segment with the evidence against it.
+type evidence struct {
 	*suspect
-	keys     map[TerminationKey]float64
-	surprise float64
+	keys      map[TerminationKey]float64
+	surprisal float64
 	// requests is the number of this entry's requests with the segment.
 	requests int
 }
 
-// judgeSegments decides which segments are blocked. The most surprising ones explain the terminations
+// evaluateSegments decides which segments are blocked. The most surprising ones explain the terminations
 // that they were present at; a segment that accompanies them and occurs without them is not blocked, as
 // the common segments of fatal prompts are. Those that can't be told apart are all blocked.
-func (g *Registry) judgeSegments() {
+func (g *Registry) evaluateSegments() {
 	all := g.segmentTerminations()
-	var charges []charge
+	var candidates []evidence
 	for _, s := range g.suspects {
 		if !s.segment {
 			continue
 		}
-		if c, ok := g.chargeOf(s, all); ok {
-			charges = append(charges, c)
+		if c, ok := g.evidenceAgainst(s, all); ok {
+			candidates = append(candidates, c)
 			continue
 		}
 		s.blocked = false
 	}
-	slices.SortFunc(charges, func(a, b charge) int { return cmp.Compare(b.surprise, a.surprise) })
-	var blocked []charge
-	for _, c := range charges {
+	slices.SortFunc(candidates, func(a, b evidence) int { return cmp.Compare(b.surprisal, a.surprisal) })
+	var blocked []evidence
+	for _, c := range candidates {
 		was := c.blocked
-		c.blocked = c.unexplainedWeight(blocked) >= minSegmentWeight && (was || g.isConvicted(c))
+		c.blocked = c.unexplainedWeight(blocked) >= minSegmentWeight && (was || g.isSufficient(c))
 		if !c.blocked {
 			continue
 		}
@@ -79,9 +79,9 @@
 	}
 }
 
-// chargeOf returns the evidence against a segment; ok is false if it is too little to judge.
-func (g *Registry) chargeOf(s *suspect, all map[TerminationKey]time.Time) (c charge, ok bool) {
-	c = charge{
+// evidenceAgainst returns the evidence against a segment; ok is false if it is too little.
+func (g *Registry) evidenceAgainst(s *suspect, all map[TerminationKey]time.Time) (c evidence, ok bool) {
+	c = evidence{
 		suspect:  s,
 		keys:     make(map[TerminationKey]float64),
 		requests: g.popularity.count(s.digest),
@@ -111,16 +111,16 @@
 			absent = append(absent, p)
 		}
 	}
-	c.surprise = surprise(present, absent)
+	c.surprisal = surprisal(present, absent)
 	return c, true
 }
 
 // unexplainedWeight returns the total weight of the terminations that blocked segments don't explain. A
 // segment is explained only by those that are seen less often.
-func (c charge) unexplainedWeight(blocked []charge) float64 {
+func (c evidence) unexplainedWeight(blocked []evidence) float64 {
 	sum := 0.0
 	for key, weight := range c.keys {
-		explained := slices.ContainsFunc(blocked, func(other charge) bool {
+		explained := slices.ContainsFunc(blocked, func(other evidence) bool {
 			_, ok := other.keys[key]
 			return ok && c.requests >= other.requests+minMoreRequests
 		})
@@ -131,26 +131,26 @@
 	return sum
 }
 
-// isConvicted reports whether the evidence suffices to block a segment. An entry with too few requests
+// isSufficient reports whether the evidence suffices to block a segment. An entry with too few requests
 // to know how common segments are follows the others. So does one that has half of the evidence: a
 // segment seems common where most of its requests arrive.
-func (g *Registry) isConvicted(c charge) bool {
+func (g *Registry) isSufficient(c evidence) bool {
 	blocked := slices.ContainsFunc(c.uncleared(), func(r *record) bool { return r.Blocked })
 	switch {
-	case g.popularity.requests() < minJudgedRequests:
+	case g.popularity.requests() < minEvaluatedRequests:
 		return blocked
 	case blocked:
-		return c.surprise >= minSurprise/2
+		return c.surprisal >= minSurprisal/2
 	}
-	return c.surprise >= minSurprise
+	return c.surprisal >= minSurprisal
 }
 
-// block marks the terminations of a segment as those of a blocked one, for entries that can't judge.
-func (g *Registry) block(c charge) {
+// block marks the terminations of a segment as those of a blocked one, for entries with too few requests to evaluate it.
+func (g *Registry) block(c evidence) {
 	for _, r := range c.uncleared() {
 		r.Blocked = true
 		g.touch(r, r.confirmed, true)
 	}
 	g.log.Warn("blocking requests whose prompts have a segment that coincided with instance terminations",
-		"segment", c.digest.String(), "ends", len(c.keys), "surprise", math.Round(c.surprise*10)/10, "share", g.popularity.share(c.digest))
+		"segment", c.digest.String(), "ends", len(c.keys), "surprisal", math.Round(c.surprisal*10)/10, "share", g.popularity.share(c.digest))
 }
--- a/crash/registry.go
+++ b/crash/registry.go
@@ -40,10 +40,10 @@
 	unanswered map[TerminationKey]*unanswered
 	// popularity counts the requests of this entry by segment.
 	popularity popularity
-	// judgedSeq and judgedAt are the sequence number and the time at which segments were last judged.
-	judgedSeq int64
-	judgedAt  time.Time
-	seq       int64
+	// evaluatedSeq and evaluatedAt are the sequence number and the time at which segments were last evaluated.
+	evaluatedSeq int64
+	evaluatedAt  time.Time
+	seq          int64
 	// changed is closed on the next change, localChanged on the next change of a local record.
 	changed      chan struct{}
 	localChanged chan struct{}
--- a/crash/segment.go
+++ b/crash/segment.go
@@ -10,8 +10,8 @@
 	maxSegmentTerminations = 24
 	// maxRecordedSegments bounds the segments recorded per request, the last ones.
 	maxRecordedSegments = 16
-	// judgingInterval is how often segments are judged again while no termination changes.
-	judgingInterval = 100 * time.Millisecond
+	// evaluationInterval is how often segments are evaluated again while no termination changes.
+	evaluationInterval = 100 * time.Millisecond
 )
 
 // CountRequest counts a request with the given segments, from which is known how common each is.
@@ -29,9 +29,9 @@
 		return Digest{}, false
 	}
 	now := g.clock.Now()
-	if g.judgedSeq != g.seq || now.Sub(g.judgedAt) >= judgingInterval {
-		g.judgeSegments()
-		g.judgedSeq, g.judgedAt = g.seq, now
+	if g.evaluatedSeq != g.seq || now.Sub(g.evaluatedAt) >= evaluationInterval {
+		g.evaluateSegments()
+		g.evaluatedSeq, g.evaluatedAt = g.seq, now
 	}
 	for _, d := range segments {
 		if s := g.suspects[d]; s != nil && s.blocked {
--- a/crash/segment_bounds_test.go
+++ b/crash/segment_bounds_test.go
@@ -53,9 +53,9 @@
 	}
 }
 
-// TestSurprise compares the bound with exact probabilities: it must not be below them, and must not be
+// TestSurprisal compares the bound with exact probabilities: it must not be below them, and must not be
 // much above them where something was present each time.
-func TestSurprise(t *testing.T) {
+func TestSurprisal(t *testing.T) {
 	repeat := func(n int, p float64) []float64 {
 		out := make([]float64, n)
 		for i := range out {
@@ -79,7 +79,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			if got := surprise(tt.present, tt.absent); got < tt.min || got > tt.max {
+			if got := surprisal(tt.present, tt.absent); got < tt.min || got > tt.max {
 				t.Errorf("%.3f, want %.2f to %.2f", got, tt.min, tt.max)
 			}
 		})
--- a/crash/segment_share_test.go
+++ b/crash/segment_share_test.go
@@ -18,7 +18,7 @@
 		t.Fatal("not blocked")
 	}
 	e.count(2000, fatalPrompt)
-	e.clock.Advance(judgingInterval)
+	e.clock.Advance(evaluationInterval)
 	if !e.blocks("fatal") {
 		t.Error("sent again")
 	}
--- a/crash/surprise.go
+++ b/crash/surprisal.go
@@ -10,10 +10,10 @@
 	tiltStep = 1.25
 )
 
-// surprise returns the negative logarithm of a bound of the probability that something is present by
+// surprisal returns the negative logarithm of a bound of the probability that something is present by
 // chance as often as it is, or more (Chernoff). The probabilities are those at the terminations where it
 // is present and where it is not; the less likely its presence, the more it weighs.
-func surprise(present, absent []float64) float64 {
+func surprisal(present, absent []float64) float64 {
 	best := 0.0
 	for t := minTilt; t <= maxTilt; t *= tiltStep {
 		sum := 0.0
--- a/crash/suspect.go
+++ b/crash/suspect.go
@@ -28,7 +28,7 @@
 	account      string
 	segment      bool
 	terminations map[TerminationKey]*record
-	// blocked is true for a segment that was judged to be the cause.
+	// blocked is true for a segment that is taken for the cause.
 	blocked bool
 }
 
