Block a fatal segment that is in most requests, by what is never answered

There callers of the fatal segment come back at once, while sound ones wait for their answers, so that over half of all requests have it. A segment that is so common is at most crashes by chance, and the evidence did not suffice.

What remains is that none of its runs is answered while those without it are. An entry now remembers how the last 256 runs ended, and compares: the probability that all of a segment's runs end unanswered, if they end like those without it that were sent since its first termination. It needs ten of these, and ten times the improbability, since runs that end together have common causes.

The row "in most of the prompts" of TestBlockedSegments failed before; "all prompts end, whatever they have" guards the opposite.

--- a/crash/evaluate.go
+++ b/crash/evaluate.go
@@ -111,7 +111,8 @@
 			absent = append(absent, p)
 		}
 	}
-	c.surprisal = surprisal(present, absent)
+	unanswered := g.outcomes.unansweredSurprisal(s.digest, len(c.keys), first)
+	c.surprisal = max(surprisal(present, absent), unanswered)
 	return c, true
 }
 
--- a/crash/registry.go
+++ b/crash/registry.go
@@ -40,6 +40,7 @@
 	unanswered map[TerminationKey]*unanswered
 	// popularity counts the requests of this entry by segment.
 	popularity popularity
+	outcomes   outcomes
 	// evaluatedSeq and evaluatedAt are the sequence number and the time at which segments were last evaluated.
 	evaluatedSeq int64
 	evaluatedAt  time.Time
@@ -96,6 +97,12 @@
 			"sure", run.Certain, "cleared", r.Cleared, "refused", g.refused(g.suspects[e.Digest]))
 	}
 	g.recordSegments(run.Segments, e, now)
+	if len(run.Segments) > 0 {
+		g.outcomes.add(outcome{
+			sent:     cmp.Or(run.SentAt, now),
+			segments: run.Segments,
+		})
+	}
 }
 
 // Refuses reports whether a request must not be sent to any instance.
--- a/crash/segment.go
+++ b/crash/segment.go
@@ -51,9 +51,17 @@
 // of them would have terminated this instance too. What was sent earlier proves nothing, because a
 // segment may become fatal.
 func (g *Registry) RecordProgress(segments []Digest, sent time.Time) {
+	if len(segments) == 0 {
+		return
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
+	g.outcomes.add(outcome{
+		sent:     sent,
+		answered: true,
+		segments: segments,
+	})
 	for _, d := range segments {
 		s := g.suspects[d]
 		if s == nil {
--- a/crash/segment_test.go
+++ b/crash/segment_test.go
@@ -243,6 +243,23 @@
 			e.clock.Advance(4 * time.Second)
 			e.crash("last", true, fatalPrompt)
 		}, []string{"fatal"}, []string{"first"}},
+		{"in most of the prompts, which all end while others are answered", func(e entry) {
+			e.count(120, fatalPrompt)
+			for i := range 24 {
+				e.clock.Advance(time.Second)
+				e.count(2, prompt{"first", fmt.Sprint("subject-", i%5)})
+				e.RecordProgress(segmentsOf(prompt{"first", fmt.Sprint("subject-", i%5)}), e.clock.Now())
+				e.crash(fmt.Sprint("i-", i), true, prompt{"first", "subject-0", "fatal"}, prompt{"first", "subject-1", "fatal"}, prompt{"first", fmt.Sprint("subject-", i%5)})
+			}
+		}, []string{"fatal"}, []string{"first"}},
+		{"all prompts end, whatever they have", func(e entry) {
+			for i := range 24 {
+				e.clock.Advance(time.Second)
+				p := prompt{"first", fmt.Sprint("half-", i%2)}
+				e.count(4, p)
+				e.crash(fmt.Sprint("i-", i), true, p, p)
+			}
+		}, nil, []string{"first"}},
 		{"fatal no longer after a while", func(e entry) {
 			e.mixed(200, 20)
 			e.crashApart(5, 2, fatalPrompt)
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -191,7 +191,9 @@
 		r.recordAnswer(in, status, now)
 		if status >= 200 && status < 300 {
 			r.g.crashes.RecordCompletion(r.contentDigest())
-			r.g.crashes.RecordProgress(r.segmentDigests(), a.sentAt)
+			if !a.isProgressing() {
+				r.g.crashes.RecordProgress(r.segmentDigests(), a.sentAt)
+			}
 		}
 	case verdictLost:
 		if !r.isServiceStalled(now) {
