Compare how often runs begin to be answered, not how often they go on

A first event now counts as an answer there: other segments than the fatal one have it nearly always. It still clears nothing, and a segment with one begun answer is not compared at all.

--- a/crash/end.go
+++ b/crash/end.go
@@ -47,6 +47,8 @@
 	SentAt time.Time
 	// Certain is false if the instance may only have been unreachable.
 	Certain bool
+	// Begun is true if the instance had begun to answer.
+	Begun bool
 	// Segments are those of the prompt that may be the cause, none if the answer was in progress.
 	Segments []Digest
 }
--- a/crash/outcome.go
+++ b/crash/outcome.go
@@ -11,16 +11,16 @@
 	maxOutcomes = 256
 	// minOutcomes is the least number of runs without a segment with which its own are compared.
 	minOutcomes = 10
-	// outcomeDiscount is subtracted from the surprisal of unanswered runs, because runs that end at one
-	// time have common causes.
+	// outcomeDiscount is subtracted from the surprisal of runs without an answer, because runs that end at
+	// one time have common causes.
 	outcomeDiscount = 2.3
 )
 
 // outcome is how a run of a request with segments ended at this entry.
 type outcome struct {
 	sent time.Time
-	// answered is true if the answer made progress, false if the instance terminated before.
-	answered bool
+	// begun is true if the instance began to answer, false if it terminated before.
+	begun    bool
 	segments []Digest
 }
 
@@ -40,22 +40,25 @@
 }
 
 // unansweredSurprisal returns the negative logarithm of the probability that n runs with a segment all
-// end unanswered, if they end like those without it that were sent since the given time. It is zero if
-// there are too few of these.
+// end without an answer that has begun, if they end like those without it that were sent since the given
+// time. It is zero if there are too few of these, or if an answer with the segment began.
 func (o *outcomes) unansweredSurprisal(d Digest, n int, since time.Time) float64 {
-	answered, unanswered := 0, 0
+	begun, ended := 0, 0
 	for _, one := range o.ring {
+		has := slices.Contains(one.segments, d)
 		switch {
-		case one.sent.Before(since) || slices.Contains(one.segments, d):
-		case one.answered:
-			answered++
+		case one.sent.Before(since), has && !one.begun:
+		case has:
+			return 0
+		case one.begun:
+			begun++
 		default:
-			unanswered++
+			ended++
 		}
 	}
-	if answered+unanswered < minOutcomes {
+	if begun+ended < minOutcomes {
 		return 0
 	}
-	share := float64(unanswered+1) / float64(answered+unanswered+2)
+	share := float64(ended+1) / float64(begun+ended+2)
 	return max(0, -float64(n)*math.Log(share)-outcomeDiscount)
 }
--- a/crash/registry.go
+++ b/crash/registry.go
@@ -97,7 +97,7 @@
 			"sure", run.Certain, "cleared", r.Cleared, "refused", g.refused(g.suspects[e.Digest]))
 	}
 	g.recordSegments(run.Segments, e, now)
-	if len(run.Segments) > 0 {
+	if len(run.Segments) > 0 && !run.Begun {
 		g.outcomes.add(outcome{
 			sent:     cmp.Or(run.SentAt, now),
 			segments: run.Segments,
--- a/crash/segment.go
+++ b/crash/segment.go
@@ -46,22 +46,29 @@
 	return slices.ContainsFunc(segments, func(d Digest) bool { return g.suspects[d] != nil })
 }
 
-// RecordProgress records that an instance went on after it had begun to answer a request sent at the
-// given time. It clears the segments of the terminations observed before: a segment that caused one
-// of them would have terminated this instance too. What was sent earlier proves nothing, because a
-// segment may become fatal.
-func (g *Registry) RecordProgress(segments []Digest, sent time.Time) {
+// RecordBegin records that an instance began to answer a request with segments that was sent at the given
+// time. One that terminates as it begins may do that too, so it clears nothing.
+func (g *Registry) RecordBegin(segments []Digest, sent time.Time) {
 	if len(segments) == 0 {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.clock.Now()
 	g.outcomes.add(outcome{
 		sent:     sent,
-		answered: true,
+		begun:    true,
 		segments: segments,
 	})
+}
+
+// RecordProgress records that an instance went on after it had begun to answer a request sent at the
+// given time. It clears the segments of the terminations observed before: a segment that caused one
+// of them would have terminated this instance too. What was sent earlier proves nothing, because a
+// segment may become fatal.
+func (g *Registry) RecordProgress(segments []Digest, sent time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
 	for _, d := range segments {
 		s := g.suspects[d]
 		if s == nil {
--- a/crash/segment_test.go
+++ b/crash/segment_test.go
@@ -248,10 +248,20 @@
 			for i := range 24 {
 				e.clock.Advance(time.Second)
 				e.count(2, prompt{"first", fmt.Sprint("subject-", i%5)})
-				e.RecordProgress(segmentsOf(prompt{"first", fmt.Sprint("subject-", i%5)}), e.clock.Now())
-				e.crash(fmt.Sprint("i-", i), true, prompt{"first", "subject-0", "fatal"}, prompt{"first", "subject-1", "fatal"}, prompt{"first", fmt.Sprint("subject-", i%5)})
+				e.RecordBegin(segmentsOf(prompt{"first", fmt.Sprint("subject-", i%5)}), e.clock.Now())
+				e.crash(fmt.Sprint("i-", i), true, prompt{"first", fmt.Sprint("subject-", (i+1)%5), "fatal"}, prompt{"first", fmt.Sprint("subject-", (i+2)%5), "fatal"}, prompt{"first", fmt.Sprint("subject-", i%5)})
 			}
 		}, []string{"fatal"}, []string{"first"}},
+		{"in most of the prompts, some of which begin", func(e entry) {
+			e.count(120, fatalPrompt)
+			for i := range 24 {
+				e.clock.Advance(time.Second)
+				e.count(2, prompt{"first", fmt.Sprint("subject-", i%5)})
+				e.RecordBegin(segmentsOf(prompt{"first", fmt.Sprint("subject-", i%5)}), e.clock.Now())
+				e.RecordBegin(segmentsOf(fatalPrompt), e.clock.Now())
+				e.crash(fmt.Sprint("i-", i), true, fatalPrompt, fatalPrompt, prompt{"first", fmt.Sprint("subject-", i%5)})
+			}
+		}, nil, []string{"fatal", "first"}},
 		{"all prompts end, whatever they have", func(e entry) {
 			for i := range 24 {
 				e.clock.Advance(time.Second)
--- a/gate/ends.go
+++ b/gate/ends.go
@@ -47,6 +47,7 @@
 			Start:   in.Start(),
 			SentAt:  a.sentAt,
 			Certain: certain,
+			Begun:   a.deliveries > 0,
 		}
 		if !a.isProgressing() {
 			run.Segments = r.segmentDigests()
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -191,6 +191,9 @@
 		r.recordAnswer(in, status, now)
 		if status >= 200 && status < 300 {
 			r.g.crashes.RecordCompletion(r.contentDigest())
+			if a.deliveries == 0 {
+				r.g.crashes.RecordBegin(r.segmentDigests(), a.sentAt)
+			}
 			if !a.isProgressing() {
 				r.g.crashes.RecordProgress(r.segmentDigests(), a.sentAt)
 			}
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -79,7 +79,10 @@
 // the beginning of the answer.
 func (a *attempt) recordDelivery() {
 	a.deliveries++
-	if a.deliveries == progressDeliveries {
+	switch a.deliveries {
+	case 1:
+		a.r.g.crashes.RecordBegin(a.r.segmentDigests(), a.sentAt)
+	case progressDeliveries:
 		a.r.g.crashes.RecordProgress(a.r.segmentDigests(), a.sentAt)
 	}
 }
