Keep a segment blocked while servers crash faster than terminations are kept

Traced with the evidence logged at each evaluation: gateways blocked the segment 1.0 to 1.1 s after the first termination that they knew, with twice to four times the evidence that suffices, and then again and again.

Cause: a segment must have been at terminations over a second. Where 24 of them, as many as are kept, fit into a second, that never held; a blocked segment then was no candidate any more and was sent again, and later terminations had no mark that others block it, so that entries that started meanwhile began anew.

The second now counts from the first termination of the series, kept or not, and is not asked of a segment that an entry blocks; new terminations of a blocked segment carry the mark. TestSegmentStaysBlockedAmidManyCrashes failed before.

--- a/crash/evaluate.go
+++ b/crash/evaluate.go
@@ -98,7 +98,7 @@
 		}
 		last = later(last, r.observed)
 	}
-	if c.unexplainedWeight(nil) < minSegmentWeight || last.Sub(first) < correlationWindow {
+	if c.unexplainedWeight(nil) < minSegmentWeight || !s.isBlockedAnywhere() && last.Sub(s.since) < correlationWindow {
 		return c, false
 	}
 	share := g.popularity.share(s.digest)
@@ -136,16 +136,20 @@
 // to know how common segments are follows the others. So does one that has half of the evidence: a
 // segment seems common where most of its requests arrive.
 func (g *Registry) isSufficient(c evidence) bool {
-	blocked := slices.ContainsFunc(c.uncleared(), func(r *record) bool { return r.Blocked })
 	switch {
 	case g.popularity.requests() < minEvaluatedRequests:
-		return blocked
-	case blocked:
+		return c.isBlockedAnywhere()
+	case c.isBlockedAnywhere():
 		return c.surprisal >= minSurprisal/2
 	}
 	return c.surprisal >= minSurprisal
 }
 
+// isBlockedAnywhere reports whether an entry has blocked the segment for terminations that still count.
+func (s *suspect) isBlockedAnywhere() bool {
+	return slices.ContainsFunc(s.uncleared(), func(r *record) bool { return r.Blocked })
+}
+
 // block marks the terminations of a segment as those of a blocked one, for entries with too few requests to evaluate it.
 func (g *Registry) block(c evidence) {
 	for _, r := range c.uncleared() {
--- a/crash/registry.go
+++ b/crash/registry.go
@@ -216,6 +216,10 @@
 	case r == nil && !g.makeRoom(s):
 		return nil
 	case r == nil:
+		if s.segment && !e.Cleared {
+			s.extendSeries(confirmed)
+			e.Blocked = e.Blocked || s.blocked
+		}
 		r = &record{
 			Termination: e,
 			observed:    confirmed,
--- a/crash/segment_share_test.go
+++ b/crash/segment_share_test.go
@@ -62,6 +62,36 @@
 	}
 }
 
+// TestSegmentStaysBlockedAmidManyCrashes guards against a blocked segment that is sent again while servers
+// crash so fast, by entries that don't know it yet, that all terminations that are kept lie within a
+// second; and against an entry that starts then and learns only of these.
+func TestSegmentStaysBlockedAmidManyCrashes(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	e := newEntry(clock)
+	e.mixed(200, 20)
+	crashOften := func(name string, n int) {
+		for i := range n {
+			clock.Advance(20 * time.Millisecond)
+			e.crash(fmt.Sprint(name, i), true, fatalPrompt)
+		}
+	}
+	crashOften("before-", 4*maxSegmentTerminations)
+	if !e.blocks("fatal") || e.blocks("first") {
+		t.Fatal("not blocked although servers have crashed for two seconds, or the first segment is")
+	}
+	crashOften("after-", 2*maxSegmentTerminations)
+	clock.Advance(evaluationInterval)
+	if !e.blocks("fatal") {
+		t.Error("sent again")
+	}
+	fresh := newEntry(clock)
+	got, _ := e.Since(0)
+	fresh.Merge(got)
+	if !fresh.blocks("fatal") || fresh.blocks("first") {
+		t.Error("an entry that starts now sends the segment, or blocks the first one")
+	}
+}
+
 // TestSegmentsThatArriveAtOneEntryAreBlocked guards against an entry that takes a fatal segment for a common
 // one because nearly all requests with it arrive there. A segment that is in nearly all of its
 // requests stays admitted, although it is rare at the others.
--- a/crash/suspect.go
+++ b/crash/suspect.go
@@ -30,6 +30,16 @@
 	terminations map[TerminationKey]*record
 	// blocked is true for a segment that is taken for the cause.
 	blocked bool
+	// since is when the first of a series of terminations that weren't cleared was observed. It may have
+	// been displaced by later ones.
+	since time.Time
+}
+
+// extendSeries adds a termination observed at the given time to the series of those that count.
+func (s *suspect) extendSeries(at time.Time) {
+	if len(s.uncleared()) == 0 || at.Before(s.since) {
+		s.since = at
+	}
 }
 
 // lastConfirmed returns when a termination of the request was last confirmed.
