--- a/review/platform/base/gateway.go
+++ b/review/platform/base/gateway.go
@@ -43,31 +43,34 @@
 	done chan struct{}
 }
 
-// FreeAddress returns a free port of a loopback address.
-func FreeAddress(ip string) (string, error) {
-	ln, err := net.Listen("tcp4", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return "", err
+// freeAddresses returns n free ports of a loopback address.
+func freeAddresses(ip string, n int) ([]string, error) {
+	var out []string
+	for range n {
+		ln, err := net.Listen("tcp4", net.JoinHostPort(ip, "0"))
+		if err != nil {
+			return nil, err
+		}
+		// All are held until the last is chosen, so that none is chosen twice.
+		defer func() { _ = ln.Close() }()
+		out = append(out, ln.Addr().String())
 	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String(), nil
+	return out, nil
 }
 
 // NewGateway chooses the addresses of the gateway with the given number. Files go to dir. Each gateway has a
-// loopback address of its own, from which nobody opens connections, so that its ports stay free until it
-// listens.
+// loopback address of its own, from which nobody opens connections and which differs between runs, so that its
+// ports stay free until it listens.
 func NewGateway(dir string, number int, s Settings) (*Gateway, error) {
 	g := &Gateway{Settings: s}
-	ip := fmt.Sprintf("127.0.7.%d", number+1)
-	for _, address := range []*string{&g.Front, &g.Ready, &g.Control} {
-		a, err := FreeAddress(ip)
-		if err != nil {
-			return nil, err
-		}
-		*address = a
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+pid%200, pid/200%256, number+1)
+	addresses, err := freeAddresses(ip, 3)
+	if err != nil {
+		return nil, err
 	}
+	g.Front, g.Ready, g.Control = addresses[0], addresses[1], addresses[2]
 	g.file = filepath.Join(dir, s.ID+".json")
-	var err error
 	g.log, err = os.Create(filepath.Join(dir, s.ID+".log"))
 	return g, err
 }
