review: case 5 with the bounds of the site it names

The script used 2,000 and 3,000 ms, bounds of the small sites; the site it names has 3,000 and 4,000.

--- a/review/platform/base/gateway.go
+++ b/review/platform/base/gateway.go
@@ -25,6 +25,8 @@
 	Store    string
 	Seeds    []string
 	MemoryMB int
+	// Bound is the time within which changes and departures must be in force.
+	Bound time.Duration
 }
 
 // Gateway is a gateway process and the addresses it listens on.
@@ -90,8 +92,8 @@
 		"link_key":     "geraniumpass-platform-link",
 		"grace":        "8s",
 		"repeat":       map[string]any{"ratio": 0.2, "slack": 94, "window": "10s"},
-		"change_bound": "2000ms",
-		"leave_bound":  "2000ms",
+		"change_bound": g.Settings.Bound.String(),
+		"leave_bound":  g.Settings.Bound.String(),
 		"agent_port":   "0",
 		"shed":         "ranked",
 		"cold":         map[string]any{"overage": 1, "slack": 0},
--- a/review/platform/base/portal.go
+++ b/review/platform/base/portal.go
@@ -15,6 +15,7 @@
 	portalQueue   = 24
 	portalWork    = 60 * time.Millisecond
 	portalBudget  = 4 * time.Second
+	portalBound   = 2 * time.Second
 	// PortalMemoryMB is what a machine has.
 	PortalMemoryMB = 284
 	// PortalBodyBytes is the limit of a body in the manifest.
@@ -82,6 +83,7 @@
 			Zone:     portalZone(i),
 			Store:    p.store.Address(),
 			MemoryMB: PortalMemoryMB,
+			Bound:    portalBound,
 		})
 		if err != nil {
 			return err
--- a/review/platform/storm/main.go
+++ b/review/platform/storm/main.go
@@ -22,8 +22,8 @@
 	keptKey = "key-that-stays-0001"
 	oldKey  = "key-that-goes-00001"
 
-	configApply  = 2000 * time.Millisecond
-	stableWindow = 3000 * time.Millisecond
+	configApply  = 3000 * time.Millisecond
+	stableWindow = 4000 * time.Millisecond
 	historyS     = 20 * time.Second
 	// valueBytes is the largest value that the store takes.
 	valueBytes = 1 << 20
@@ -185,7 +185,8 @@
 			ID:       fmt.Sprintf("front-hall-%c-%d", 'a'+i%zones, i/zones+1),
 			Zone:     fmt.Sprintf("hall-%c", 'a'+i%zones),
 			Store:    relay.Address(),
-			MemoryMB: 284,
+			MemoryMB: 536,
+			Bound:    configApply,
 		})
 		if err != nil {
 			return err
