Bound the head of an answer, and leave one that never ends

Cause: the status line, the fields, interim answers and skipped answers to other requests were read without any bound up to the request's deadline; bytes that keep coming end no silence timeout either.

Evidence: a heap profile has 7,314 of 7,328 MB below readHead.

A repeatable request leaves an instance whose head doesn't end, or that sends only interim answers, after the time that it may stay silent. Only reads that the head needs count, so that a sound head isn't charged for the body in the same segment.

--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -16,8 +15,6 @@
 )
 
 const (
-	// maxStrayAnswers limits how many answers to other requests are skipped on a connection.
-	maxStrayAnswers = 2
 	// silenceTimeoutFactor times the route's target latency is how long an idempotent request waits
 	// for an instance to answer before it fails over.
 	silenceTimeoutFactor = 2.5
@@ -83,17 +80,11 @@
 	a.trackDeparture()
 	defer r.g.departures.remove(a.departure)
 	r.g.loads.addWaiting(a.instance.Start(), sent)
-	err := a.awaitFirstByte(sent)
+	resp, err := a.awaitHead(sent)
 	r.g.loads.removeWaiting(a.instance.Start(), sent)
 	if err != nil {
 		return a.recordNoAnswer(err), 0
 	}
-	if r.firstByteAt.IsZero() {
-		r.firstByteAt = r.g.clock.Now()
-	}
-	if resp, err = a.readHead(); err != nil {
-		return a.recordNoAnswer(err), 0
-	}
 	if resp.StatusCode != http.StatusMisdirectedRequest {
 		r.g.crashes.RecordAnswer(a.instance.Start(), a.conn.Opened, sent)
 		a.recordReply(sent)
@@ -117,7 +108,7 @@
 	// silentAt is zero if silence alone is no reason to fail over.
 	var silentAt time.Time
 	if timeout := a.silenceTimeout(); timeout > 0 {
-		silentAt = r.g.clock.Now().Add(timeout)
+		silentAt = sent.Add(timeout)
 	}
 	for {
 		deadline := r.nextDeadline()
@@ -141,14 +132,23 @@
 			}
 			continue
 		}
-		mayFailOver := r.route.Kind == plan.KindIdempotent || r.g.health.isAnswering(r.service.Name, now) || !a.isOtherSilent()
-		if mayFailOver && r.canFailOver() {
+		if a.failsOver(now) {
 			return &SilenceTimeoutError{Duration: now.Sub(sent)}
 		}
 		silentAt = now.Add(silencePollInterval)
 	}
 }
 
+// failsOver reports whether the request leaves an instance that has not answered within its silence
+// timeout, and if so reserves a retry.
+func (a *attempt) failsOver(now time.Time) bool {
+	r := a.r
+	if r.route.Kind != plan.KindIdempotent && !r.g.health.isAnswering(r.service.Name, now) && a.isOtherSilent() {
+		return false
+	}
+	return r.canFailOver()
+}
+
 // isOtherSilent reports whether this entry also waits for another instance of the service.
 func (a *attempt) isOtherSilent() bool {
 	for _, in := range a.r.g.view.Now().Usable(a.r.service.Name) {
@@ -257,27 +257,3 @@
 	b.Write(r.body)
 	return b.Bytes()
 }
-
-// readHead reads the head of the answer that belongs to this attempt, skipping stray answers.
-func (a *attempt) readHead() (*http.Response, error) {
-	for stray := 0; ; {
-		resp, err := http.ReadResponse(a.conn.Reader, a.r.req)
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode < 200 {
-			continue
-		}
-		a.reply = a.r.g.dialect.Reply(resp.StatusCode, resp.Header)
-		if a.reply.ID == a.r.call.ID || a.reply.ID == "" && !a.conn.Reused {
-			return resp, nil
-		}
-		a.r.g.log.Warn("received an answer to another request", "id", a.r.call.ID, "instance", a.instance.ID, "answers", a.reply.ID, "status", resp.StatusCode)
-		if stray++; stray > maxStrayAnswers || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-			return nil, &MismatchedAnswerError{ID: a.reply.ID}
-		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-			return nil, err
-		}
-	}
-}
--- a/gate/ends.go
+++ b/gate/ends.go
@@ -8,6 +8,7 @@
 	"github.com/samber/lo"
 
 	"geraniumpass/crash"
+	"geraniumpass/pool"
 )
 
 // isDisconnect reports whether err means that the peer closed the connection, as opposed to a
@@ -23,7 +24,8 @@
 	}
 	var mismatched *MismatchedAnswerError
 	var tooLarge *AnswerTooLargeError
-	return !errors.As(err, &mismatched) && !errors.As(err, &tooLarge)
+	var overLimit *pool.ReadLimitError
+	return !errors.As(err, &mismatched) && !errors.As(err, &tooLarge) && !errors.As(err, &overLimit)
 }
 
 // recordDisconnect checks whether an instance that closed its connection has terminated, and if so
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -16,11 +16,23 @@
 	// Opened is when the connection was opened.
 	Opened time.Time
 
+	source  *limitedReader
 	target  Target
 	expires time.Time
 	pool    *Pool
 }
 
+// LimitReads bounds the bytes that Reader may still read from the network. Beyond the limit it returns
+// a *ReadLimitError.
+func (c *Conn) LimitReads(limit int64) {
+	c.source.left = limit
+}
+
+// UnlimitReads removes the bound of LimitReads.
+func (c *Conn) UnlimitReads() {
+	c.source.left = unlimited
+}
+
 // isReusable reports whether an idle connection is still open and has received no unsolicited data.
 func (c *Conn) isReusable() bool {
 	if c.Reader.Buffered() > 0 {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -103,10 +103,15 @@
 }
 
 func (p *Pool) newConn(nc net.Conn, t Target) *Conn {
+	source := &limitedReader{
+		from: nc,
+		left: unlimited,
+	}
 	return &Conn{
 		Conn:   nc,
-		Reader: bufio.NewReaderSize(nc, readBufferBytes),
+		Reader: bufio.NewReaderSize(source, readBufferBytes),
 		Opened: p.clock.Now(),
+		source: source,
 		target: t,
 		pool:   p,
 	}
