Forward large answers as they arrive, and read no body that nobody gets

What callers saw: an answer of more than 8 MiB never arrived (502), and each answer up to that size was held whole, so that bodies without end took 5 to 16 MB a call, also those of refusals and unsigned answers.

Cause: every body was read to its end, or to 8 MiB, before anything was decided about it.

Fix: what may not be forwarded is known from the head; its body is read for 64 KiB or 100 ms at most, for the sake of the connection. Other bodies are held up to 256 KiB; a larger one is forwarded at the pace of its caller, whose connection is aborted if it breaks off. A failure that is too large to be kept is replaced by a retry where there is another instance, else forwarded. The price: an answer between 256 KiB and 8 MiB that breaks off is no longer retried by the gateway, but by its caller.

--- a/gate/answering.go
+++ b/gate/answering.go
@@ -1,16 +1,25 @@
 package gate
 
 import (
+	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"geraniumpass/plan"
+	"geraniumpass/pool"
 )
 
-// maxAnswerBytes limits answers that are buffered before they are forwarded.
-const maxAnswerBytes = 8 << 20
+const (
+	// maxHeldAnswerBytes is the size up to which an answer is held until it is whole, so that a truncated
+	// one can be replaced by a retry. Almost all answers are smaller.
+	maxHeldAnswerBytes = 256 << 10
+	// maxDiscardedBytes and discardTimeout limit the reading of a body that is not forwarded.
+	maxDiscardedBytes = 64 << 10
+	discardTimeout    = 100 * time.Millisecond
+)
 
 // isStream reports whether the answer is an event stream to be forwarded as it arrives.
 func (a *attempt) isStream(resp *http.Response) bool {
@@ -51,59 +60,93 @@
 	}
 }
 
-// handleAnswer reads a complete answer and decides whether to forward it or to retry.
+// handleAnswer decides whether to forward an answer that is no stream of events or to retry.
 func (a *attempt) handleAnswer(resp *http.Response) (verdict, int) {
-	body, err := readFull(resp.Body)
-	if a.reply.NotExecuted {
-		a.r.reason = "refused_" + strconv.Itoa(resp.StatusCode)
+	r := a.r
+	switch {
+	case a.reply.NotExecuted:
+		r.reason = "refused_" + strconv.Itoa(resp.StatusCode)
 		if resp.StatusCode == http.StatusMisdirectedRequest {
-			a.r.g.loads.markAddressReused(a.instance.Start())
+			r.g.loads.markAddressReused(a.instance.Start())
 		}
-		a.reuseConn = err == nil && a.isConnReusable(resp)
+		_ = a.discardBody(resp)
 		return a.orCallerGone(verdictNotExecuted), 0
+	case !a.isForwardable(resp):
+		r.reason = "unsound_" + strconv.Itoa(resp.StatusCode)
+		a.disconnected = isDisconnect(a.discardBody(resp))
+		return a.orCallerGone(verdictLost), 0
+	case r.stream.started:
+		// The caller already has events, so only further events may follow.
+		r.reason = "resumed_" + strconv.Itoa(resp.StatusCode)
+		a.disconnected = isDisconnect(a.discardBody(resp))
+		return a.orCallerGone(verdictLost), 0
 	}
+	return a.forwardAnswer(resp)
+}
+
+// forwardAnswer forwards an answer, whole or, if it is too large to be held, as it arrives. A failure is
+// kept for a retry instead.
+func (a *attempt) forwardAnswer(resp *http.Response) (verdict, int) {
+	r := a.r
+	body, whole, err := readHeld(resp.Body)
 	if err != nil {
-		a.r.reason = "answer_cut"
+		r.reason = "answer_cut"
 		a.disconnected = isDisconnect(err)
-		a.r.g.log.Debug("answer is incomplete", "id", a.r.call.ID, "instance", a.instance.ID, "status", resp.StatusCode, "error", err)
+		r.g.log.Debug("answer is incomplete", "id", r.call.ID, "instance", a.instance.ID, "status", resp.StatusCode, "error", err)
 		return a.orCallerGone(verdictLost), 0
 	}
-	a.reuseConn = a.isConnReusable(resp)
-	if a.r.stream.started {
-		// The caller already has events, so only further events may follow.
-		a.r.reason = "resumed_" + strconv.Itoa(resp.StatusCode)
-		return a.orCallerGone(verdictLost), 0
+	a.reuseConn = whole && a.isConnReusable(resp)
+	if a.isVerified(resp) {
+		a.recordVerified()
 	}
 	ans := &answer{
 		status: resp.StatusCode,
 		header: resp.Header,
 		body:   body,
 	}
-	switch {
-	case a.isVerified(resp):
-		a.recordVerified()
-		return verdictDone, a.r.sendAnswer(ans)
-	case !a.reply.Signed, resp.StatusCode < 300, impliesNotExecuted(resp.StatusCode):
-		// An unsigned answer can't be trusted, and these statuses would tell the caller that the
-		// request was not executed although it may have been.
-		a.r.reason = "unsound_" + strconv.Itoa(resp.StatusCode)
-		return a.orCallerGone(verdictLost), 0
-	case resp.StatusCode >= 500 && a.r.route.Repeatable() && a.r.sends < a.r.route.Attempts:
-		a.r.failedAnswer = ans
-		a.r.reason = "failed_" + strconv.Itoa(resp.StatusCode)
+	if resp.StatusCode >= 500 && r.route.Repeatable() && r.sends < r.route.Attempts && (whole || r.canFailOver()) {
+		if whole {
+			r.failedAnswer = ans
+		}
+		r.reason = "failed_" + strconv.Itoa(resp.StatusCode)
 		return a.orCallerGone(verdictFailed), 0
 	}
-	return verdictDone, a.r.sendAnswer(ans)
+	if whole {
+		return verdictDone, r.sendAnswer(ans)
+	}
+	return a.forwardLarge(resp, body)
+}
+
+// isForwardable reports whether the answer may reach the caller. An unsigned answer can't be trusted, and
+// some statuses would tell the caller that the request was not executed although it may have been.
+func (a *attempt) isForwardable(resp *http.Response) bool {
+	return a.isVerified(resp) || a.reply.Signed && resp.StatusCode >= 300 && !impliesNotExecuted(resp.StatusCode)
+}
+
+// discardBody reads a body that nobody gets, so that the connection can be reused. A body that doesn't
+// end at once is not worth the wait.
+func (a *attempt) discardBody(resp *http.Response) error {
+	_ = a.conn.SetDeadline(earlier(a.r.nextDeadline(), a.r.g.clock.Now().Add(discardTimeout)))
+	n, err := io.CopyN(io.Discard, resp.Body, maxDiscardedBytes+1)
+	if n > maxDiscardedBytes {
+		return a.recordOverLimit("discarded", &pool.ReadLimitError{})
+	}
+	if !errors.Is(err, io.EOF) {
+		return err
+	}
+	a.reuseConn = a.isConnReusable(resp)
+	return nil
 }
 
-// readFull reads an answer to its end. It returns an *AnswerTooLargeError when the answer exceeds
-// maxAnswerBytes, so that a truncated body is never forwarded as complete.
-func readFull(from io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(from, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		return nil, &AnswerTooLargeError{Limit: maxAnswerBytes}
+// readHeld reads a body of up to maxHeldAnswerBytes, or the beginning of a larger one, and reports whether
+// it is whole.
+func readHeld(from io.Reader) (body []byte, whole bool, err error) {
+	var b bytes.Buffer
+	n, err := io.CopyN(&b, from, maxHeldAnswerBytes+1)
+	if errors.Is(err, io.EOF) {
+		return b.Bytes(), true, nil
 	}
-	return body, err
+	return b.Bytes(), n <= maxHeldAnswerBytes && err == nil, err
 }
 
 // impliesNotExecuted reports whether status tells a caller that its request was not executed.
--- a/gate/ends.go
+++ b/gate/ends.go
@@ -23,9 +23,8 @@
 		return false
 	}
 	var mismatched *MismatchedAnswerError
-	var tooLarge *AnswerTooLargeError
 	var overLimit *pool.ReadLimitError
-	return !errors.As(err, &mismatched) && !errors.As(err, &tooLarge) && !errors.As(err, &overLimit)
+	return !errors.As(err, &mismatched) && !errors.As(err, &overLimit)
 }
 
 // recordDisconnect checks whether an instance that closed its connection has terminated, and if so
--- a/gate/error.go
+++ b/gate/error.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"strconv"
 	"time"
 
 	"geraniumpass/loads"
@@ -36,13 +35,3 @@
 func (e *MismatchedAnswerError) Error() string {
 	return "received the answer to request " + e.ID
 }
-
-// AnswerTooLargeError reports that an answer exceeds the limit for buffered answers.
-type AnswerTooLargeError struct {
-	Limit int
-}
-
-// Error returns a message with the limit in bytes.
-func (e *AnswerTooLargeError) Error() string {
-	return "answer exceeds " + strconv.Itoa(e.Limit) + " bytes"
-}
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -43,6 +43,8 @@
 	verdictLost
 	// verdictFailed means that a complete answer reported a failure.
 	verdictFailed
+	// verdictBrokenOff means that the caller has the beginning of an answer that nothing can complete.
+	verdictBrokenOff
 	// verdictRelocated means that the request left the instance, which has not failed.
 	verdictRelocated
 	// verdictCallerGone means that the caller disconnected.
@@ -82,11 +84,13 @@
 			return status
 		case verdictCallerGone:
 			return statusCallerGone
+		case verdictBrokenOff:
+			return statusAborted
 		case verdictNotSent, verdictNotExecuted:
 		case verdictRelocated:
 			r.mayHaveRun = true
 		case verdictLost, verdictFailed:
-			r.mayHaveRun = r.mayHaveRun || v == verdictLost
+			r.mayHaveRun = r.mayHaveRun || v == verdictLost || r.failedAnswer == nil
 			if !r.route.Repeatable() || r.stream.hasUnnumbered {
 				return r.giveUp()
 			}
@@ -182,7 +186,7 @@
 		conn:     conn,
 	}
 	v, status := a.run()
-	if v == verdictLost && a.disconnected {
+	if (v == verdictLost || v == verdictBrokenOff) && a.disconnected {
 		r.recordDisconnect(a)
 	}
 	now := r.g.clock.Now()
@@ -198,7 +202,7 @@
 				r.g.crashes.RecordProgress(r.segmentDigests(), a.sentAt)
 			}
 		}
-	case verdictLost:
+	case verdictLost, verdictBrokenOff:
 		if !r.isServiceStalled(now) {
 			a.recordLoss(now)
 			r.g.health.recordRefusal(r.service.Name)
