--- a/view/follow.go
+++ b/view/follow.go
@@ -70,6 +70,12 @@
 			full = true
 			continue
 		}
+		var tooLarge *store.TooLargeError
+		if errors.As(err, &tooLarge) && !full {
+			v.log.Warn("events of the store are too large, reloading the full state", "error", err)
+			full = true
+			continue
+		}
 		if errors.Is(err, errWatchStale) {
 			continue
 		}
--- a/view/follow_test.go
+++ b/view/follow_test.go
@@ -151,3 +151,21 @@
 		t.Fatal("context canceled early")
 	}
 }
+
+// TestTooLargeChangesAreReplacedByTheFullState guards against an entry that repeats a call whose answer is too
+// large to be read, and serves with an old table until the store drops its history.
+func TestTooLargeChangesAreReplacedByTheFullState(t *testing.T) {
+	src := &silentSource{fail: &store.DownError{Cause: &store.TooLargeError{Call: "watch", Limit: 1}}}
+	v := NewCache("front-1", clockwork.NewRealClock(), hclog.NewNullLogger())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go v.Run(ctx, src)
+	for start := time.Now(); v.Now().Rev < 20; time.Sleep(time.Millisecond) {
+		if time.Since(start) > 3*time.Second {
+			t.Fatalf("revision %d after %d watches and %d full reads", v.Now().Rev, len(src.watches()), src.loads)
+		}
+	}
+	if n := len(src.watches()); n > 2 {
+		t.Errorf("%d watches, want one before and one after the full read", n)
+	}
+}
