Bound what the opening of a link reads

What callers would see: a process ends for its memory, because what has the address of a peer answers the opening of a link with a head without an end, or a peer that has not authenticated itself sends a message of 16 MiB.

Cause: the library reads the answer to the opening without a bound, up to the time-out; the limit of messages was that of an authenticated peer from the start.

--- a/wire/link.go
+++ b/wire/link.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"context"
 	"expvar"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,8 +24,10 @@
 	batchBytes = 64 << 10
 	// maxMessageBytes is the size limit of a received message.
 	maxMessageBytes = 16 << 20
-	writeTimeout    = 5 * time.Second
-	readTimeout     = 5 * time.Second
+	// maxHelloBytes is the size limit of a message of a peer that has not authenticated itself.
+	maxHelloBytes = 16 << 10
+	writeTimeout  = 5 * time.Second
+	readTimeout   = 5 * time.Second
 )
 
 // sentBytes and receivedBytes count the message payload, and sentFrames the frames, of all links of
@@ -69,6 +73,15 @@
 		ReadBufferSize:   16 << 10,
 		WriteBufferSize:  16 << 10,
 	}
+	var head *headLimit
+	d.NetDialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		nc, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		head = newHeadLimit(nc)
+		return head, nil
+	}
 	c, resp, err := d.Dial("ws://"+address+"/link", nil)
 	if err != nil {
 		return nil, errs.Wrap(err)
@@ -76,6 +89,7 @@
 	if resp != nil && resp.Body != nil {
 		_ = resp.Body.Close()
 	}
+	head.lift()
 	return startLink(c, own, key, sideDialled, timeout)
 }
 
@@ -103,12 +117,13 @@
 }
 
 func startLink(c *websocket.Conn, own Identity, key []byte, local side, timeout time.Duration) (*Link, error) {
-	c.SetReadLimit(maxMessageBytes)
+	c.SetReadLimit(maxHelloBytes)
 	peer, err := handshake(c, own, key, local, timeout)
 	if err != nil {
 		_ = c.Close()
 		return nil, err
 	}
+	c.SetReadLimit(maxMessageBytes)
 	l := &Link{
 		Peer:       peer,
 		conn:       c,
