Bound what the product's own interface reads from upstreams and the instance list

What callers would see: an agent or an entry ends for its memory while it serves others.

Cause: an event and the answers to health checks and orders were read without a bound and, since they are streams to the library, without a time-out; so was the instance list; a head of more than 4 KiB was turned away.

Evidence: TestEndlessAnswersOfAnUpstream on: an event held 130 MB, a health check 262 MB and an order 393 MB of 128 MB sent (32 MB are allowed); orders succeeded with answers that had no end. TestSoundAnswersOfAnySize/head failed.

Fix: control calls have a client of their own that reads 1 MiB within the time-out; an event ends at 8 MiB with an EventTooLargeError, half of what a link carries; heads may have 32 KiB; the list 8 MiB; an operator's reply 64 MiB.

Result: all rows pass.

--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -22,6 +22,12 @@
 	maxUpstreamConns = 1024
 	idleConnTimeout  = 2 * time.Second
 	controlTimeout   = time.Second
+	// maxHeadBytes limits the head of an answer.
+	maxHeadBytes = 32 << 10
+	// maxEventBytes limits an event, which is sent to the entry as a whole.
+	maxEventBytes = 8 << 20
+	// maxControlBytes limits the answer to a call of control.
+	maxControlBytes = 1 << 20
 )
 
 // Upstream is the interface through which the agent calls the process that it fronts.
@@ -58,10 +64,22 @@
 	return "upstream lost: " + e.Cause.Error()
 }
 
+// EventTooLargeError reports that an upstream sent an event of more than Limit bytes.
+type EventTooLargeError struct {
+	Limit int
+}
+
+// Error returns a message with the limit.
+func (e *EventTooLargeError) Error() string {
+	return "event exceeds " + strconv.Itoa(e.Limit) + " bytes"
+}
+
 // HTTPUpstream calls an upstream over HTTP at one address.
 type HTTPUpstream struct {
 	address string
 	client  *fasthttp.Client
+	// controls makes calls whose answers are read as a whole.
+	controls *fasthttp.Client
 }
 
 // NewHTTPUpstream returns an upstream at address, an IP address and port.
@@ -72,6 +90,7 @@
 			MaxConnsPerHost:     maxUpstreamConns,
 			MaxIdleConnDuration: idleConnTimeout,
 			StreamResponseBody:  true,
+			ReadBufferSize:      maxHeadBytes,
 			// The HTTP client must not retry: only the entry knows whether a request may be
 			// repeated.
 			RetryIfErr:                    func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
@@ -79,6 +98,12 @@
 			DisablePathNormalizing:        true,
 			DisableHeaderNamesNormalizing: false,
 		},
+		controls: &fasthttp.Client{
+			MaxIdleConnDuration:      idleConnTimeout,
+			MaxResponseBodySize:      maxControlBytes,
+			RetryIfErr:               func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+			NoDefaultUserAgentHeader: true,
+		},
 	}
 }
 
@@ -156,10 +181,9 @@
 	req.SetRequestURI("http://" + u.address + path)
 	req.Header.SetMethod(method)
 	req.SetBody(body)
-	if err := u.client.DoTimeout(req, resp, controlTimeout); err != nil {
+	if err := u.controls.DoTimeout(req, resp, controlTimeout); err != nil {
 		return nil, errs.Wrap(err)
 	}
-	defer func() { _ = resp.CloseBodyStream() }()
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return nil, &LostError{Cause: errs.Errorf("unexpected HTTP status %d", resp.StatusCode())}
 	}
@@ -189,18 +213,29 @@
 	"server":              true,
 }
 
+var (
+	lineEnd  = []byte("\n")
+	eventEnd = []byte("\n\n")
+)
+
 // readEvents forwards one server-sent event per part. The answer is complete only after the closing
 // [DONE] event.
 func readEvents(body io.Reader, part func(*proto.Answer) error) error {
 	r := bufio.NewReader(body)
 	var event []byte
 	for {
-		line, err := r.ReadBytes('\n')
+		line, err := r.ReadSlice('\n')
 		event = append(event, line...)
+		if len(event) > maxEventBytes {
+			return &LostError{Cause: &EventTooLargeError{Limit: maxEventBytes}}
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
 		if err != nil {
 			return &LostError{Cause: err}
 		}
-		if len(line) > 1 {
+		if !bytes.Equal(event, lineEnd) && !bytes.HasSuffix(event, eventEnd) {
 			continue
 		}
 		last := bytes.HasPrefix(event, []byte("data: [DONE]"))
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -19,6 +19,7 @@
 const (
 	listInterval = time.Second
 	listTimeout  = time.Second
+	maxListBytes = 8 << 20
 	flushTimeout = 500 * time.Millisecond
 )
 
@@ -28,6 +29,12 @@
 	List(ctx context.Context) ([]core.Instance, error)
 }
 
+// listClient reads the instance list, which has some hundred bytes for each instance.
+var listClient = &fasthttp.Client{
+	ReadTimeout:         listTimeout,
+	MaxResponseBodySize: maxListBytes,
+}
+
 // HTTPLister reads the instance list as JSON from GET /instances at Address, a host:port pair.
 type HTTPLister struct {
 	Address string
@@ -35,7 +42,7 @@
 
 // List implements Lister.
 func (h *HTTPLister) List(context.Context) ([]core.Instance, error) {
-	status, body, err := fasthttp.GetTimeout(nil, "http://"+h.Address+"/instances", listTimeout)
+	status, body, err := listClient.GetTimeout(nil, "http://"+h.Address+"/instances", listTimeout)
 	if err != nil {
 		return nil, errs.Wrap(err)
 	}
--- a/oper/client.go
+++ b/oper/client.go
@@ -12,7 +12,16 @@
 	"geraniumpass/entry"
 )
 
-const callTimeout = 15 * time.Second
+const (
+	callTimeout = 15 * time.Second
+	// maxReplyBytes limits a reply, of which audit records are the largest.
+	maxReplyBytes = 64 << 20
+)
+
+var httpClient = &fasthttp.Client{
+	ReadTimeout:         callTimeout,
+	MaxResponseBodySize: maxReplyBytes,
+}
 
 // Client calls the operator interface of one entry.
 type Client struct {
@@ -69,7 +78,7 @@
 		}
 		req.SetBody(b)
 	}
-	if err := fasthttp.DoTimeout(req, resp, callTimeout); err != nil {
+	if err := httpClient.DoTimeout(req, resp, callTimeout); err != nil {
 		return errs.Wrap(err)
 	}
 	if resp.StatusCode() == fasthttp.StatusOK {
