Close idle connections that receive unsolicited bytes

What callers would see: a gateway that ends for its memory, because bytes that follow a complete answer go on and fill the receive buffers of idle connections, some MB each, until these are used again or expire after 60 s.

Cause: an idle connection was looked at only when it was taken for a request.

That such buffers have taken a gateway's memory was not played.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/samber/lo"
 )
 
 const (
@@ -124,13 +125,16 @@
 	return len(p.idle[t])
 }
 
-// Prune closes the idle connections to targets for which keep returns false.
+// Prune closes the idle connections to targets for which keep returns false, and those that were closed or
+// have received unsolicited data, which would take memory until the connection is used again.
 func (p *Pool) Prune(keep func(t Target) bool) {
 	p.mu.Lock()
 	var pruned []*Conn
 	for t, list := range p.idle {
-		if !keep(t) {
-			pruned = append(pruned, list...)
+		kept, unusable := lo.FilterReject(list, func(c *Conn, _ int) bool { return keep(t) && c.isReusable() })
+		pruned = append(pruned, unusable...)
+		p.idle[t] = kept
+		if len(kept) == 0 {
 			delete(p.idle, t)
 		}
 	}
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -127,3 +127,31 @@
 	first.Discard()
 	mustGet(t, p, address)
 }
+
+// TestPruneClosesConnectionsWithUnsolicitedData guards against idle connections whose peers send bytes without an
+// end, which take the memory of the process up to the size of its receive buffers.
+func TestPruneClosesConnectionsWithUnsolicitedData(t *testing.T) {
+	address, conns := startPeer(t)
+	p := New(clockwork.NewRealClock())
+	noisy, quiet := mustGet(t, p, address), mustGet(t, p, address)
+	first, second := <-conns, <-conns
+	noisy.Release(0)
+	quiet.Release(0)
+	if first.RemoteAddr().String() != noisy.LocalAddr().String() {
+		first, second = second, first
+	}
+	if _, err := first.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	target := Target{Address: address}
+	for start := time.Now(); p.IdleCount(target) > 1; time.Sleep(time.Millisecond) {
+		if time.Since(start) > 2*time.Second {
+			t.Fatal("a connection with unsolicited data is kept")
+		}
+		p.Prune(func(Target) bool { return true })
+	}
+	if c := mustGet(t, p, address); c != quiet {
+		t.Error("the quiet connection was closed")
+	}
+	_ = second.Close()
+}
