--- a/gate/head.go
+++ b/gate/head.go
@@ -16,7 +16,7 @@
 	// servers and proxies send and accept less.
 	maxHeadBytes = 64 << 10
 	// maxStrayBytes limits the body of an answer to another request, which is skipped.
-	maxStrayBytes = 1 << 20
+	maxStrayBytes = 256 << 10
 	// maxStrayAnswers limits how many answers to other requests are skipped on a connection.
 	maxStrayAnswers = 2
 )
