End the orders of a switch with the switch, and holds that no switch owns

Cause: an agent goes on trying a hold for 2 s, while the leader gives the switch up after 0.4 s. The guard took the old attempt for a new hold, and the leader, idle by then, released holds of other ranks than its holder only. Besides, an answer to an order of an earlier switch confirmed the present one, and a release that a restarted guard refused was repeated for ever.

Evidence: TestExploreGroupGoesOn lets agents go on trying orders after their phase, restarts them and demands that the group steps again with one map once nothing fails.

Fix: holds and their ends carry the version of their switch. A guard refuses the hold of a switch that has ended and ignores the release of an earlier one; a leader takes no answer of another switch, releases any hold while it has no switch, and asks all ranks anew if a guard doesn't know its release.

--- a/shift/explore_test.go
+++ b/shift/explore_test.go
@@ -13,19 +13,22 @@
 // statesInCI limits one exploration to a few seconds.
 const statesInCI = 150_000
 
-func TestExploreNeverTwoMaps(t *testing.T) {
-	most := statesInCI
-	if s := os.Getenv("GERANIUMPASS_EXPLORE"); s != "" {
-		n, err := strconv.Atoi(s)
-		if err != nil {
-			t.Fatal(err)
-		}
-		most = n
+// statesWanted returns the number of states that one exploration visits at most.
+func statesWanted(t *testing.T) int {
+	t.Helper()
+	s := os.Getenv("GERANIUMPASS_EXPLORE")
+	if s == "" {
+		return statesInCI
 	}
-	tests := []struct {
-		name string
-		b    bounds
-	}{
+	n, err := strconv.Atoi(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func TestExploreNeverTwoMaps(t *testing.T) {
+	exploreBounds(t, statesWanted(t), []boundsTest{
 		{"one leader, late orders", bounds{maxAhead: 3, steps: 6, late: 2, leaders: 1, switches: 2}},
 		{"two leaders, one late order", bounds{maxAhead: 3, steps: 4, late: 1, leaders: 2, switches: 1}},
 		{"two leaders, late orders", bounds{maxAhead: 3, steps: 5, late: 2, leaders: 2, switches: 1}},
@@ -38,7 +41,17 @@
 		{"two leaders, a restart, holds up to two ahead", bounds{maxAhead: 2, steps: 7, late: 1, leaders: 2, switches: 1, restarts: 1}},
 		{"one leader, late orders, holds as far as they ship", bounds{maxAhead: MaxAhead, steps: 10, late: 2, leaders: 1, switches: 2}},
 		{"one leader, a restart, holds as far as they ship", bounds{maxAhead: MaxAhead, steps: 16, late: 1, leaders: 1, switches: 2, restarts: 1}},
-	}
+	})
+}
+
+// boundsTest is an exploration that must find no violation.
+type boundsTest struct {
+	name string
+	b    bounds
+}
+
+func exploreBounds(t *testing.T, most int, tests []boundsTest) {
+	t.Helper()
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			tt.b.states = most
@@ -55,6 +68,19 @@
 	}
 }
 
+// TestExploreGroupGoesOn guards against a group that stands for good, or has two maps, because an agent goes on
+// trying an order after its leader has gone on to another phase.
+func TestExploreGroupGoesOn(t *testing.T) {
+	exploreBounds(t, statesWanted(t), []boundsTest{
+		{"one leader", bounds{maxAhead: 3, steps: 6, leaders: 1, switches: 2, attempts: true}},
+		{"one leader, late orders", bounds{maxAhead: 3, steps: 6, late: 2, leaders: 1, switches: 2, attempts: true}},
+		{"one leader, a restart", bounds{maxAhead: 3, steps: 9, late: 1, leaders: 1, switches: 2, restarts: 1, attempts: true}},
+		{"one leader, the group forms anew", bounds{maxAhead: 3, steps: 5, late: 1, leaders: 1, switches: 2, breaks: 1, attempts: true}},
+		{"two leaders", bounds{maxAhead: 3, steps: 5, late: 1, leaders: 2, switches: 1, attempts: true}},
+		{"two leaders, a restart", bounds{maxAhead: 3, steps: 8, late: 1, leaders: 2, switches: 1, restarts: 1, attempts: true}},
+	})
+}
+
 func TestExploreDetectsMutations(t *testing.T) {
 	tests := []struct {
 		mutation string
--- a/shift/explorer_test.go
+++ b/shift/explorer_test.go
@@ -33,6 +33,10 @@
 			x.violation = w
 		}
 	}
+	if x.b.attempts && !x.failed && !w.settles() {
+		x.failed = true
+		x.violation = w
+	}
 }
 
 // run explores the states within bounds, and returns their number and whether an invariant was
@@ -101,11 +105,17 @@
 		n.Leaders[1].set(NewLeader(2, ranks))
 		x.push(n)
 	}
+	if w.Attempt.Order.Op != 0 {
+		x.expandAttempt(w)
+	}
 	for r := range w.Guards {
 		if w.Restarts < x.b.restarts {
 			n := w
 			n.Restarts++
 			n.Guards[r] = Guard{MaxAhead: x.b.maxAhead}
+			if n.Attempt.Rank == r {
+				n.Attempt = attempt{}
+			}
 			x.push(n)
 		}
 		x.expandCleanup(w, r)
@@ -117,6 +127,25 @@
 	}
 }
 
+// expandAttempt lets an agent go on trying an order, or give it up.
+func (x *explorer) expandAttempt(w world) {
+	a := w.Attempt
+	n := w
+	n.Attempt = attempt{}
+	x.push(n)
+	n = w
+	verdict := n.try(a.Rank, a.Order)
+	if verdict == VerdictNotReady || verdict == VerdictForward {
+		x.push(n)
+		return
+	}
+	n.Attempt = attempt{}
+	x.push(n)
+	if l := n.Leaders[a.Leader]; l.Alive && verdict != VerdictRefused {
+		x.pushAnswer(n, a.Leader, l.leader(int64(a.Leader+1)), a.Rank, a.Order, verdict == VerdictDone)
+	}
+}
+
 // expandCleanup lets the agent of a rank release an orphaned hold.
 func (x *explorer) expandCleanup(w world, r int) {
 	g := w.Guards[r]
@@ -232,7 +261,9 @@
 		x.pushAnswer(w, i, l, r, o, answer == VerdictDone)
 	case VerdictNotReady:
 		x.push(w)
+		x.pushAttempt(w, i, r, o)
 	case VerdictForward:
+		x.pushAttempt(w, i, r, o)
 		n := w
 		n.execute(r, send.Op, send.Epoch, send.Version, send.Step)
 		x.push(n)
@@ -245,6 +276,19 @@
 	}
 }
 
+// pushAttempt pushes a state in which the agent goes on trying an order.
+func (x *explorer) pushAttempt(w world, i, r int, o Order) {
+	if !x.b.attempts || w.Attempt.Order.Op != 0 {
+		return
+	}
+	w.Attempt = attempt{
+		Leader: i,
+		Rank:   r,
+		Order:  o,
+	}
+	x.push(w)
+}
+
 func (x *explorer) pushAnswer(w world, i int, l *Leader, r int, o Order, done bool) {
 	x.push(w)
 	c := l.Clone()
--- a/shift/guard.go
+++ b/shift/guard.go
@@ -25,9 +25,12 @@
 	// Floor is the highest step that this rank was ordered to hold or release in this epoch, or may
 	// have been before a restart; new holds lie above it.
 	Floor int64
-	// HoldStep is the step that the current switch holds on this rank, or None. Observed is false
-	// until the first state.
-	HoldStep int64
+	// HoldStep is the step that the current switch holds on this rank, or None, and HoldVersion is the
+	// version of that switch. Observed is false until the first state.
+	HoldStep    int64
+	HoldVersion int64
+	// Ended is the highest version of a switch whose hold was ordered to end, zero if there is none.
+	Ended    int64
 	Observed bool
 	// Lossy makes holds lie at least MinAheadLossy steps ahead.
 	Lossy bool
@@ -130,6 +133,10 @@
 	case OpGo:
 		return g.release(o.Step, o, s)
 	case OpRelease:
+		if g.HoldStep != None && o.Version < g.HoldVersion {
+			// The agent has gone on trying the release of an earlier switch.
+			return VerdictDone, o
+		}
 		return g.release(s.Held, o, s)
 	}
 	return VerdictMismatch, o
@@ -148,6 +155,11 @@
 }
 
 func (g *Guard) hold(o Order, s State) (Verdict, Order) {
+	if g.Ended > 0 && o.Version <= g.Ended {
+		// The agent has gone on trying the hold of a switch that has ended.
+		return VerdictMismatch, o
+	}
+	g.HoldVersion = o.Version
 	if g.HoldStep != None && s.Held == g.HoldStep {
 		o.Step = g.HoldStep
 		return VerdictDone, o
@@ -190,6 +202,7 @@
 
 func (g *Guard) release(step int64, o Order, s State) (Verdict, Order) {
 	g.HoldStep = None
+	g.Ended = max(g.Ended, o.Version)
 	if s.Held == None || s.Held != step {
 		return VerdictDone, o
 	}
--- a/shift/leader.go
+++ b/shift/leader.go
@@ -83,8 +83,8 @@
 }
 
 func (l *Leader) pendingOp(r int) (Op, bool) {
-	if l.Phase != PhaseAsk && l.Ranks[r].Held != None && r != l.Holder {
-		// A hold on another rank was executed late and protects nothing.
+	if l.Phase != PhaseAsk && l.Ranks[r].Held != None && (r != l.Holder || l.Phase == PhaseIdle) {
+		// A hold on another rank, or without a switch, was executed late and protects nothing.
 		return OpRelease, true
 	}
 	if l.Done[r] {
@@ -176,7 +176,8 @@
 		l.resumeSwitch()
 		return
 	}
-	if o.Epoch != l.Epoch || o.Op == OpRelease && r != l.Holder || o.Op == OpArm && (o.Step != l.Step || o.Version != l.Version) {
+	if o.Epoch != l.Epoch || o.Version != l.Version || o.Op == OpArm && o.Step != l.Step {
+		// The order belongs to another switch.
 		return
 	}
 	if !done {
@@ -185,6 +186,10 @@
 		l.askAll()
 		return
 	}
+	if o.Op == OpRelease && (r != l.Holder || l.Phase != PhaseRelease) {
+		// The hold that has ended was none of this switch.
+		return
+	}
 	l.Done[r] = true
 	l.advance(r, s)
 }
--- a/shift/world_test.go
+++ b/shift/world_test.go
@@ -30,12 +30,20 @@
 	Switches int
 }
 
+// attempt is an order that its agent goes on trying; Order.Op is 0 for none.
+type attempt struct {
+	Leader int
+	Rank   int
+	Order  Order
+}
+
 type world struct {
 	Step     int64
 	Epoch    int64
 	Engines  [ranks]engine
 	Guards   [ranks]Guard
 	Late     [2]lateOrder
+	Attempt  attempt
 	Leaders  [2]leaderState
 	Restarts int
 }
@@ -51,6 +59,8 @@
 	states   int
 	// maxAhead is the maximum distance of a hold; with a small one a few steps cover every case.
 	maxAhead int64
+	// attempts lets agents go on trying an order while their leader goes on to other phases.
+	attempts bool
 	mutation string
 }
 
@@ -159,3 +169,76 @@
 	copy(l.Ranks[:], from.Ranks)
 	copy(l.Done[:], from.Done)
 }
+
+// settleRounds is how often all ranks, agents and leaders act after the last failure, and settleSteps how
+// many steps the group must make in that time.
+const (
+	settleRounds = 40
+	settleSteps  = 8
+)
+
+// settles reports whether the group goes on with one map in all ranks once nothing fails: orders that are still
+// under way are executed, and the newest leader, or a new one, gets an answer to each of its orders.
+func (w world) settles() bool {
+	for _, l := range w.Late {
+		if l.Op != 0 {
+			w.execute(l.Rank, l.Op, l.Epoch, l.V, l.N)
+		}
+	}
+	if a := w.Attempt; a.Order.Op != 0 {
+		w.try(a.Rank, a.Order)
+	}
+	fence := int64(ranks)
+	if !w.Leaders[1].Alive {
+		fence = 1
+	}
+	l := w.Leaders[fence-1].leader(fence)
+	if !w.Leaders[fence-1].Alive {
+		fence = ranks + 1
+		l = NewLeader(fence, ranks)
+	}
+	from := w.Step
+	for range settleRounds {
+		if !w.settle(l) {
+			fence++
+			l = NewLeader(max(fence, ranks+1), ranks)
+		}
+		w.beginStep()
+	}
+	return w.Step >= from+settleSteps && w.Engines[0].Map == w.Engines[1].Map
+}
+
+// settle lets each agent and the leader act once, and reports whether the leader was not replaced.
+func (w *world) settle(l *Leader) bool {
+	for r := range w.Engines {
+		w.Guards[r].Observe(w.state(r))
+		if held := w.Guards[r].OrphanedHold(w.state(r)); held != None {
+			w.execute(r, OpGo, w.Epoch, 0, held)
+		}
+		l.Observe(r, w.state(r))
+	}
+	for r, o := range l.Orders() {
+		if o.Op == 0 {
+			continue
+		}
+		switch verdict := w.try(r, o); verdict {
+		case VerdictRefused:
+			return false
+		case VerdictDone, VerdictMismatch:
+			l.HandleAnswer(r, o, verdict == VerdictDone, w.state(r))
+		case VerdictForward, VerdictNotReady:
+		}
+	}
+	return true
+}
+
+// try evaluates an order at a rank, executes it and returns the verdict after that.
+func (w *world) try(r int, o Order) Verdict {
+	verdict, send := w.Guards[r].Evaluate(o, w.state(r))
+	if verdict != VerdictForward {
+		return verdict
+	}
+	w.execute(r, send.Op, send.Epoch, send.Version, send.Step)
+	verdict, _ = w.Guards[r].Evaluate(o, w.state(r))
+	return verdict
+}
