--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 	$(GO) test -race -count=1 -timeout 8m $(SKIP) $$($(GO) list ./... | grep -v -e /admit -e /crowd -e /epmap -e /shift)
 	$(GO) test -race -count=1 -run '^TestConcurrentDecisions$$' ./admit
 	$(GO) test -timeout 5m $(SKIP) ./admit ./epmap ./shift
-	$(GO) test -count=1 -timeout 8m $(SKIP) ./crowd
+	$(GO) test -count=1 -timeout 8m $(SKIP) ./platform/crowd
 
 demo: build
 	bin/demo --binary bin/geraniumpass
