Bound what the clients of a gateway take

Callers see: a gateway that is killed, or exits, while other clients send heads or bodies that the limits forbid, or only keep connections. Cause: a bound for each head and body but none for all; fields of a head take twenty times their bytes; fasthttp reads 4 MiB before a handler and returns from Serve when accept finds no descriptor; connections have no bound; the manifest's limits of heads were constants. Fix: one package for all listeners. One budget in bytes from the memory in the settings, taken before bytes are read; connections bounded by descriptors and memory, the least useful closed first and none whose request runs; an accept that fails is repeated; limits follow the manifest. Bodies are held once. A bound cannot be exceeded by many, since each byte over 8 KiB a connection is taken from one number.

--- a/gate/answering.go
+++ b/gate/answering.go
@@ -16,6 +16,8 @@
 	// maxHeldAnswerBytes is the size up to which an answer is held until it is whole, so that a truncated
 	// one can be replaced by a retry. Almost all answers are smaller.
 	maxHeldAnswerBytes = 256 << 10
+	// maxFreeAnswerBytes is the part of an answer that is held without being charged to its caller.
+	maxFreeAnswerBytes = 8 << 10
 	// maxDiscardedBytes and discardTimeout limit the reading of a body that is not forwarded.
 	maxDiscardedBytes = 64 << 10
 	discardTimeout    = 100 * time.Millisecond
@@ -88,7 +90,7 @@
 // kept for a retry instead.
 func (a *attempt) forwardAnswer(resp *http.Response) (verdict, int) {
 	r := a.r
-	body, whole, err := readHeld(resp.Body)
+	body, whole, err := r.readHeld(resp.Body)
 	if err != nil {
 		r.reason = "answer_cut"
 		a.disconnected = isDisconnect(err)
@@ -139,14 +141,22 @@
 }
 
 // readHeld reads a body of up to maxHeldAnswerBytes, or the beginning of a larger one, and reports whether
-// it is whole.
-func readHeld(from io.Reader) (body []byte, whole bool, err error) {
+// it is whole. Less is held if the process may hold no more for its callers.
+func (r *request) readHeld(from io.Reader) (body []byte, whole bool, err error) {
 	var b bytes.Buffer
-	n, err := io.CopyN(&b, from, maxHeldAnswerBytes+1)
-	if errors.Is(err, io.EOF) {
-		return b.Bytes(), true, nil
+	for _, limit := range []int64{maxFreeAnswerBytes, maxHeldAnswerBytes} {
+		if limit > maxFreeAnswerBytes && !r.conn.Take(limit-maxFreeAnswerBytes) {
+			return b.Bytes(), false, nil
+		}
+		_, err := io.CopyN(&b, from, limit+1-int64(b.Len()))
+		if errors.Is(err, io.EOF) {
+			return b.Bytes(), true, nil
+		}
+		if err != nil {
+			return b.Bytes(), false, err
+		}
 	}
-	return b.Bytes(), n <= maxHeldAnswerBytes && err == nil, err
+	return b.Bytes(), false, nil
 }
 
 // impliesNotExecuted reports whether status tells a caller that its request was not executed.
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -27,6 +27,8 @@
 	silencePollInterval = 150 * time.Millisecond
 	// minSilenceTimeout keeps a normal delay from causing a failover.
 	minSilenceTimeout = 200 * time.Millisecond
+	// maxJoinedBytes is the size up to which a body is sent in one write with its head.
+	maxJoinedBytes = 16 << 10
 )
 
 // attempt is one send of a request to an instance over one connection.
@@ -70,7 +72,7 @@
 		a.conn.Discard()
 	}()
 	_ = a.conn.SetDeadline(r.deadline)
-	if n, err := a.conn.Write(a.encode()); err != nil && n == 0 {
+	if !a.send() {
 		a.r.reason = "not_sent"
 		return a.orCallerGone(verdictNotSent), 0
 	}
@@ -235,7 +237,21 @@
 	return v
 }
 
-// encode returns the request as sent to the upstream: request line and body unchanged, with a
+// send writes the request and reports whether any of it was sent. What is missing of it shows in the answer.
+func (a *attempt) send() bool {
+	head, body := a.encode(), a.r.body
+	if len(body) <= maxJoinedBytes {
+		head, body = append(head, body...), nil
+	}
+	n, err := a.conn.Write(head)
+	if err == nil && len(body) > 0 {
+		// A large body is held once and not copied for each attempt.
+		_, _ = a.conn.Write(body)
+	}
+	return err == nil || n > 0
+}
+
+// encode returns the head of the request as sent to the upstream: the request line unchanged, with a
 // Content-Length that the entry computed itself.
 func (a *attempt) encode() []byte {
 	r := a.r
@@ -254,6 +270,5 @@
 	b.WriteString(r.req.Method + " " + r.req.RequestURI + " HTTP/1.1\r\nHost: " + r.req.Host + "\r\n")
 	_ = h.Write(&b)
 	b.WriteString("\r\n")
-	b.Write(r.body)
 	return b.Bytes()
 }
--- a/gate/request.go
+++ b/gate/request.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"geraniumpass/accept"
 	"geraniumpass/core"
 	"geraniumpass/crash"
 	"geraniumpass/plan"
@@ -18,6 +19,8 @@
 	req  *http.Request
 	ctx  context.Context
 	body []byte
+	// conn is the caller's connection, nil if its listener has no bounds.
+	conn *accept.Conn
 
 	call    Call
 	snap    *view.Snapshot
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -1,9 +1,6 @@
 package gate
 
 import (
-	"errors"
-	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -44,6 +41,7 @@
 		receivedAt: g.clock.Now(),
 		tried:      make(map[core.Start]bool),
 	}
+	r.bound()
 	status := r.serve()
 	r.recordOutcome(status)
 	if status == statusCallerGone || status == statusAborted {
@@ -58,7 +56,7 @@
 		// HTTP/1.0 callers don't support chunked encoding and interpret an orderly close as the end
 		// of a complete answer, so the connection is reset.
 		if c, _, err := http.NewResponseController(r.w).Hijack(); err == nil {
-			if t, ok := c.(*net.TCPConn); ok {
+			if t, ok := c.(interface{ SetLinger(sec int) error }); ok {
 				_ = t.SetLinger(0)
 			}
 			_ = c.Close()
@@ -159,33 +157,6 @@
 	return nil
 }
 
-// readBody buffers the whole body, so that no part of an incomplete request reaches an upstream.
-func (r *request) readBody() int {
-	if r.req.ContentLength == 0 {
-		return 0
-	}
-	if limit := r.snap.Table.Limits.BodyBytes; limit > 0 {
-		r.req.Body = http.MaxBytesReader(r.w, r.req.Body, int64(limit))
-	}
-	_ = http.NewResponseController(r.w).SetReadDeadline(r.deadline)
-	body, err := io.ReadAll(r.req.Body)
-	_ = http.NewResponseController(r.w).SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
-		r.body = body
-		return 0
-	case errors.As(err, &tooLarge):
-		return r.fail(http.StatusRequestEntityTooLarge, "too_large")
-	case r.ctx.Err() != nil:
-		return statusCallerGone
-	case r.g.clock.Now().After(r.deadline):
-		return r.fail(http.StatusRequestTimeout, "body_late")
-	}
-	r.w.Header().Set("Connection", "close")
-	return r.fail(http.StatusBadRequest, "body_broken")
-}
-
 // reject answers 503 with a Retry-After, which guarantees that the request was not executed.
 func (r *request) reject(reason string, after time.Duration) int {
 	r.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
@@ -223,7 +194,7 @@
 	if r.snap.Table != nil {
 		version = r.snap.Table.Version
 	}
-	r.g.log.Info("request", "id", r.call.ID, "route", name, "status", status, "reason", r.reason, "instance", r.lastInstance,
+	r.g.log.Info("request", "id", shortened(r.call.ID), "route", name, "status", status, "reason", r.reason, "instance", r.lastInstance,
 		"sends", r.sends, "ms", took.Milliseconds(), "begun_ms", r.firstByteMillis(), "event", r.stream.lastEvent, "pause_ms", r.stream.maxPause.Milliseconds(), "table", version, "rev", store.NumberOf(r.snap.Rev))
 }
 
--- a/start/gateway.go
+++ b/start/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -16,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs/v2"
 
+	"geraniumpass/accept"
 	"geraniumpass/check"
 	"geraniumpass/crash"
 	"geraniumpass/gate"
@@ -38,13 +40,13 @@
 	memoryLimitRatio = 0.7
 	// sweepInterval is the interval at which state of terminated instances is evicted.
 	sweepInterval = time.Second
-	// readHeaderTimeout bounds reading a request's header and idleTimeout an idle connection; both
-	// exceed every timeout that the platform specifies.
-	readHeaderTimeout = 10 * time.Second
-	idleTimeout       = 5 * time.Minute
-	// maxHeaderBytes bounds a request's header in bytes, above the limit that the platform's
-	// callers observe.
-	maxHeaderBytes = 64 << 10
+	// checkTimeout bounds the reading of a readiness check.
+	checkTimeout = 10 * time.Second
+	// callerPart, readyPart and controlPart are each listener's part of the connections that clients may
+	// open.
+	callerPart  = 0.68
+	readyPart   = 0.09
+	controlPart = 0.23
 	// deregistrationDelay is how long the platform may keep sending new connections after readiness
 	// ends: two readiness checks one second apart, plus a margin.
 	deregistrationDelay = 2500 * time.Millisecond
@@ -69,11 +71,16 @@
 // returned function closes the log.
 func newProcess(l setup.Log, limits setup.Limits) (do.Injector, func()) {
 	check.ConfigureFromEnvironment()
+	limitMemory(limits)
+	w := logio.New(os.Stdout)
+	return provide(l, w), w.Close
+}
+
+// limitMemory sets the soft memory limit of the Go runtime, if the settings state the memory.
+func limitMemory(limits setup.Limits) {
 	if limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(limits.MemoryMB<<20) * memoryLimitRatio))
 	}
-	w := logio.New(os.Stdout)
-	return provide(l, w), w.Close
 }
 
 // gateway is a running gateway role.
@@ -163,16 +170,16 @@
 		},
 		stopping: make(chan struct{}),
 	}
+	// The listeners bound heads and idle connections by the limits in force.
 	g.frontServer = &http.Server{
-		Handler:           g.gate,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{}),
+		Handler:        g.gate,
+		MaxHeaderBytes: math.MaxInt32,
+		ErrorLog:       log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{}),
 	}
 	g.readyServer = &http.Server{
-		Handler:           g.readyMux(counts),
-		ReadHeaderTimeout: readHeaderTimeout,
+		Handler:     g.readyMux(counts),
+		ReadTimeout: checkTimeout,
+		ErrorLog:    log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{}),
 	}
 	server := &peer.Server{
 		View:         cache,
@@ -181,6 +188,7 @@
 		Leaving:      leaving,
 	}
 	g.linkServer = &fasthttp.Server{
+		MaxRequestBodySize: maxLinkBodyBytes,
 		Handler: func(ctx *fasthttp.RequestCtx) {
 			err := wire.Accept(ctx, g.identity, []byte(cfg.LinkKey), server.Serve)
 			if err != nil {
@@ -198,19 +206,8 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	failed := make(chan error, 3)
-	for _, s := range []struct {
-		address string
-		serve   func(net.Listener) error
-	}{
-		{g.cfg.Listen, g.frontServer.Serve},
-		{g.cfg.Ready, g.readyServer.Serve},
-		{g.cfg.Control, g.linkServer.Serve},
-	} {
-		ln, err := net.Listen("tcp4", s.address)
-		if err != nil {
-			return errs.Wrap(err)
-		}
-		go func() { failed <- s.serve(ln) }()
+	if err := g.serve(failed); err != nil {
+		return err
 	}
 	go g.cache.Run(ctx, g.source)
 	go g.keepRegistered(ctx)
@@ -241,6 +238,52 @@
 	}
 }
 
+// serve opens all listeners and sends the error of the first server that ends to failed.
+func (g *gateway) serve(failed chan<- error) error {
+	bounds := accept.NewBounds(g.cfg.Limits.MemoryMB, g.cfg.Limits.MaxFiles)
+	for _, s := range []struct {
+		name    string
+		address string
+		part    float64
+		limits  func() accept.Limits
+		bind    func(*accept.Listener)
+		serve   func(net.Listener) error
+	}{
+		{"callers", g.cfg.Listen, callerPart, g.callerLimits, func(l *accept.Listener) { l.Bind(g.frontServer) }, g.frontServer.Serve},
+		{"ready", g.cfg.Ready, readyPart, nil, func(l *accept.Listener) { l.Bind(g.readyServer) }, g.readyServer.Serve},
+		{"control", g.cfg.Control, controlPart, nil, func(l *accept.Listener) { l.BindFast(g.linkServer) }, g.linkServer.Serve},
+	} {
+		ln, err := accept.Listen(accept.Config{
+			Address:  s.address,
+			Name:     s.name,
+			MaxConns: bounds.MaxConns(s.part),
+			Budget:   bounds.Budget,
+			Limits:   s.limits,
+			Clock:    g.clock,
+			Log:      g.log.Named("listen"),
+		})
+		if err != nil {
+			return errs.Wrap(err)
+		}
+		s.bind(ln)
+		go func() { failed <- s.serve(ln) }()
+	}
+	return nil
+}
+
+// callerLimits returns the limits of the routing table in force.
+func (g *gateway) callerLimits() accept.Limits {
+	table := g.cache.Now().Table
+	if table == nil {
+		return accept.Limits{}
+	}
+	return accept.Limits{
+		HeadBytes: table.Limits.HeaderBytes,
+		HeadTime:  table.Limits.HeaderTimeout,
+		IdleTime:  table.Limits.Idle,
+	}
+}
+
 // reload validates the settings file. The running process keeps its settings, since none of them
 // may change at run time.
 func (g *gateway) reload() {
--- a/wire/link.go
+++ b/wire/link.go
@@ -101,11 +101,17 @@
 		WriteBufferSize: 16 << 10,
 		CheckOrigin:     func(*fasthttp.RequestCtx) bool { return true },
 	}
+	marker, ok := ctx.Conn().(phaseMarker)
+	if !ok {
+		marker = noMarker{}
+	}
 	return errs.Wrap(u.Upgrade(ctx, func(c *websocket.Conn) {
+		marker.MarkHandshake()
 		l, err := startLink(c, own, key, sideAccepted, handshakeTimeout)
 		if err != nil {
 			return
 		}
+		marker.MarkRunning()
 		// The server reuses the connection's memory after this returns, so the writer must have
 		// stopped using it.
 		defer func() {
