Bound what the clients of a sidecar take

Anybody who reaches a sidecar's port could end it before any authentication: 64 bodies of 4 MiB hold 300 MB at 96 MB, and with more connections than descriptors Serve returns and the process exits.

--- a/start/sidecar.go
+++ b/start/sidecar.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp/expvarhandler"
 	"github.com/zeebo/errs/v2"
 
+	"geraniumpass/accept"
 	"geraniumpass/group"
 	"geraniumpass/place"
 	"geraniumpass/platform"
@@ -21,6 +22,13 @@
 	"geraniumpass/wire"
 )
 
+const (
+	// maxLinkBodyBytes bounds the body of a request to open a link, which has none.
+	maxLinkBodyBytes = 1
+	// onlyListener is the part of the connections of a process with one listener.
+	onlyListener = 1.0
+)
+
 // rebalanceBudget allows one expert copy per rank and map switch. A copy takes about 400 ms, a rank
 // copies one expert at a time, and expert popularity changes within seconds, so many small switches
 // are better than a few large ones.
@@ -68,12 +76,22 @@
 		SlowPrefix: platform.PacePrefix,
 	}
 	links := &fasthttp.Server{
-		Handler: sidecarHandler(member, log),
+		MaxRequestBodySize: maxLinkBodyBytes,
+		Handler:            sidecarHandler(member, log),
 	}
-	ln, err := net.Listen("tcp4", cfg.Listen)
+	bounds := accept.NewBounds(cfg.Limits.MemoryMB, cfg.Limits.MaxFiles)
+	ln, err := accept.Listen(accept.Config{
+		Address:  cfg.Listen,
+		Name:     "links",
+		MaxConns: bounds.MaxConns(onlyListener),
+		Budget:   bounds.Budget,
+		Clock:    clock,
+		Log:      log.Named("listen"),
+	})
 	if err != nil {
 		return errs.Wrap(err)
 	}
+	ln.BindFast(links)
 	failed := make(chan error, 1)
 	go func() { failed <- links.Serve(ln) }()
 	go agent.Run(ctx)
