Bound what the clients of an agent take, and give own roles a limit of memory

An agent read 4 MiB from anybody before a handler, and exited when it ran out of descriptors; the settings of agents and entries had no memory. Now they have limits as gateways do, and the agent the listener of accept.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -12,6 +12,7 @@
 	"github.com/samber/do/v2"
 	"github.com/zeebo/errs/v2"
 
+	"geraniumpass/accept"
 	"geraniumpass/config"
 	"geraniumpass/ledger"
 	"geraniumpass/queue"
@@ -25,6 +26,10 @@
 	expireInterval      = 30 * time.Second
 	flushTimeout        = time.Second
 	sessionRetention    = time.Hour
+	// maxBodyBytes bounds the body of a request to this process, none of which has one.
+	maxBodyBytes = 1
+	// onlyListener is the part of the connections of a process with one listener.
+	onlyListener = 1.0
 )
 
 // Agent is the process in front of one upstream. It owns the request queue and dispatches to that
@@ -111,9 +116,13 @@
 // running attempts and returns.
 func (a *Agent) Run(ctx context.Context) error {
 	a.app = a.routes()
+	ln, err := a.listen()
+	if err != nil {
+		return errs.Wrap(err)
+	}
 	failed := make(chan error, 1)
 	go func() {
-		failed <- a.app.Listen(a.cfg.Listen, fiber.ListenConfig{DisableStartupMessage: true})
+		failed <- a.app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
 	}()
 	loops, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -134,6 +143,24 @@
 	return nil
 }
 
+// listen opens the listener for links.
+func (a *Agent) listen() (*accept.Listener, error) {
+	bounds := accept.NewBounds(a.cfg.Limits.MemoryMB, a.cfg.Limits.MaxFiles)
+	ln, err := accept.Listen(accept.Config{
+		Address:  a.cfg.Listen,
+		Name:     "links",
+		MaxConns: bounds.MaxConns(onlyListener),
+		Budget:   bounds.Budget,
+		Clock:    a.clock,
+		Log:      a.log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	ln.BindFast(a.app.Server())
+	return ln, nil
+}
+
 func (a *Agent) loop(ctx context.Context) {
 	defer a.background.Done()
 	tick := a.clock.NewTicker(tickInterval)
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -15,7 +15,10 @@
 )
 
 func (a *Agent) routes() *fiber.App {
-	app := fiber.New(fiber.Config{AppName: "geraniumpass agent"})
+	app := fiber.New(fiber.Config{
+		AppName:   "geraniumpass agent",
+		BodyLimit: maxBodyBytes,
+	})
 	app.Get("/livez", func(c fiber.Ctx) error { return c.SendString("ok") })
 	app.Get("/readyz", func(c fiber.Ctx) error {
 		if a.leaving.Load() {
--- a/setup/agent.go
+++ b/setup/agent.go
@@ -9,5 +9,6 @@
 	Listen   string   `json:"listen" validate:"required,hostport_ip"`
 	LinkKey  string   `json:"link_key" validate:"required,min=16"`
 	Upstream Upstream `json:"upstream"`
+	Limits   Limits   `json:"limits"`
 	Log      Log      `json:"log"`
 }
--- a/setup/entry.go
+++ b/setup/entry.go
@@ -24,5 +24,6 @@
 	DefaultDeadline Duration `json:"default_deadline"`
 	// ClaimRetention is how long a retry with the same Idempotency-Key is recognised.
 	ClaimRetention Duration `json:"claim_retention"`
+	Limits         Limits   `json:"limits"`
 	Log            Log      `json:"log"`
 }
--- a/start/role.go
+++ b/start/role.go
@@ -26,7 +26,7 @@
 	if err := setup.Load(file, cfg); err != nil {
 		return err
 	}
-	i := newInjector(cfg.Log)
+	i := newInjector(cfg.Log, cfg.Limits)
 	do.ProvideValue(i, cfg)
 	do.ProvideValue[store.Store](i, platform.NewStore(cfg.Platform.KeyValue))
 	do.ProvideValue[entry.Lister](i, &entry.HTTPLister{Address: cfg.Platform.InstanceList})
@@ -44,7 +44,7 @@
 	if err := setup.Load(file, cfg); err != nil {
 		return err
 	}
-	i := newInjector(cfg.Log)
+	i := newInjector(cfg.Log, cfg.Limits)
 	do.ProvideValue(i, cfg)
 	do.ProvideValue[agent.Upstream](i, agent.NewHTTPUpstream(cfg.Upstream.Address))
 	do.Provide(i, agent.New)
@@ -71,8 +71,9 @@
 	return role, setup.Load(file, settings[role])
 }
 
-func newInjector(cfg setup.Log) do.Injector {
+func newInjector(cfg setup.Log, limits setup.Limits) do.Injector {
 	check.ConfigureFromEnvironment()
+	limitMemory(limits)
 	return provide(cfg, hclog.DefaultOutput)
 }
 
