Bound what the clients of an entry take

An entry held up to 8 MiB for each client before it knew the account (426 MB and more with 64 clients), and exited when it ran out of descriptors. fasthttp allocates a body when its length is announced, so that a budget can't be asked first: now it streams bodies, and the handler reads them within the budget once the account is known. A body is forwarded as it was sent; fiber decompressed it, without a bound, and kept its Content-Encoding.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -33,11 +33,13 @@
 
 func (e *Entry) callerRoutes() *fiber.App {
 	app := fiber.New(fiber.Config{
-		AppName:        "geraniumpass entry",
-		BodyLimit:      e.cfg.MaxBody,
-		ReadBufferSize: maxHeaderBytes,
-		ReadTimeout:    readTimeout,
-		ErrorHandler:   callerError,
+		AppName:   "geraniumpass entry",
+		BodyLimit: e.cfg.MaxBody,
+		// Handlers read bodies within the memory of the process.
+		StreamRequestBody: true,
+		ReadBufferSize:    maxHeaderBytes,
+		ReadTimeout:       readTimeout,
+		ErrorHandler:      callerError,
 		// A streamed request outlives its handler, so fiber must not reuse the buffers behind its
 		// strings.
 		Immutable: true,
@@ -144,7 +146,6 @@
 func (e *Entry) respond(c fiber.Ctx, r *request) error {
 	r.class = e.config.Document().Classify(r.service, r.account, c.Get(headerWorkClass))
 	r.headers = proto.Headers(c.Request().Header.All(), hopHeaders)
-	r.body = append([]byte{}, c.Body()...)
 	e.inFlight.Add(1)
 	if r.stream {
 		return e.respondStream(c, r)
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -28,8 +28,11 @@
 		c.Set(fiber.HeaderAllow, fiber.MethodPost)
 		return e.refuse(c, r, core.NotRun(core.ReasonMethodNotAllowed, "completions are made by POST"))
 	}
+	if err := e.readBody(c, r); err != nil {
+		return e.refuse(c, r, err)
+	}
 	var body completionBody
-	if err := json.Unmarshal(c.Body(), &body); err != nil {
+	if err := json.Unmarshal(r.body, &body); err != nil {
 		return e.refuse(c, r, core.NotRun(core.ReasonBadRequest, "the body is not the JSON of a completion request: "+err.Error()))
 	}
 	if kind, ok := e.peers.kind(body.Model); !ok || kind != core.KindModel {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/samber/do/v2"
 	"github.com/zeebo/errs/v2"
 
+	"geraniumpass/accept"
 	"geraniumpass/check"
 	"geraniumpass/config"
 	"geraniumpass/meter"
@@ -32,6 +33,9 @@
 	// ready and closes connections, so that callers and load balancers move elsewhere.
 	shutdownDelay  = 2 * time.Second
 	maxHeaderBytes = 16 << 10
+	// callerPart and controlPart are each listener's part of the connections that clients may open.
+	callerPart  = 0.7
+	controlPart = 0.3
 )
 
 // Entry accepts callers' requests and dispatches them to agents.
@@ -136,11 +140,13 @@
 	e.callerApp = e.callerRoutes()
 	e.controlApp = e.controlRoutes()
 	failed := make(chan error, 2)
-	serve := func(app *fiber.App, address string) {
-		failed <- app.Listen(address, fiber.ListenConfig{DisableStartupMessage: true})
+	bounds := accept.NewBounds(e.cfg.Limits.MemoryMB, e.cfg.Limits.MaxFiles)
+	if err := e.listen(e.controlApp, "control", e.cfg.Control, bounds, controlPart, failed); err != nil {
+		return err
+	}
+	if err := e.listen(e.callerApp, "callers", e.cfg.Listen, bounds, callerPart, failed); err != nil {
+		return err
 	}
-	go serve(e.controlApp, e.cfg.Control)
-	go serve(e.callerApp, e.cfg.Listen)
 	defer e.cancel()
 	for _, loop := range []func(context.Context){e.syncConfig, e.pollInstances, e.groups.run, e.gossip.run} {
 		e.background.Go(func() { loop(e.ctx) })
@@ -160,6 +166,26 @@
 	return nil
 }
 
+// listen opens a listener and serves app on it; the error with which it ends is sent to failed.
+func (e *Entry) listen(app *fiber.App, name, address string, bounds *accept.Bounds, part float64, failed chan<- error) error {
+	ln, err := accept.Listen(accept.Config{
+		Address:  address,
+		Name:     name,
+		MaxConns: bounds.MaxConns(part),
+		Budget:   bounds.Budget,
+		Clock:    e.clock,
+		Log:      e.log,
+	})
+	if err != nil {
+		return errs.Wrap(err)
+	}
+	ln.BindFast(app.Server())
+	go func() {
+		failed <- app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
+	}()
+	return nil
+}
+
 // stop closes the caller listener and waits until no request is in flight.
 func (e *Entry) stop() {
 	e.stopping.Store(true)
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -25,6 +25,9 @@
 	if len(r.key) > maxKeyLength {
 		return e.refuse(c, r, core.NotRun(core.ReasonBadRequest, fmt.Sprintf("%s is longer than %d characters", headerIdempotencyKey, maxKeyLength)))
 	}
+	if err := e.readBody(c, r); err != nil {
+		return e.refuse(c, r, err)
+	}
 	r.cost = 1
 	return e.respond(c, r)
 }
