Acknowledge answers of the own interface by bytes too

Callers see: a call through an entry and an agent whose answer has 512 KiB or more is never answered. Cause: the agent waits at 512 KiB unacknowledged, the entry acknowledges every 32 parts (2 MiB in chunks of 64 KiB), so that both wait until the request's time is over. Evidence: the agent logs that the attempt started and nothing more; answers of 64 KiB pass, of 1 MiB not, also to a request without a body. Fix: the window is defined once, and the entry acknowledges at a quarter of its parts or bytes, whichever is first, so that the agent never waits for an entry that has received everything.

--- a/agent/run.go
+++ b/agent/run.go
@@ -9,14 +9,8 @@
 	"geraniumpass/proto"
 )
 
-const (
-	// windowParts and windowBytes bound the unacknowledged parts and bytes of an answer without a
-	// claim.
-	windowParts = 128
-	windowBytes = 512 << 10
-	// orphanTimeout is how long an attempt continues without a link to any of its entries.
-	orphanTimeout = 15 * time.Second
-)
+// orphanTimeout is how long an attempt continues without a link to any of its entries.
+const orphanTimeout = 15 * time.Second
 
 // run is one attempt at the upstream together with the readers of its answer.
 type run struct {
@@ -81,11 +75,12 @@
 	return true
 }
 
+// windowFull reports whether an answer without a claim waits for an acknowledgement.
 func (r *run) windowFull() bool {
 	if r.dispatch.ClaimKey != "" {
 		return false
 	}
-	return r.sent-r.acked >= windowParts || r.buffer.Bytes() >= windowBytes
+	return r.sent-r.acked >= proto.WindowParts || r.buffer.Bytes() >= proto.WindowBytes
 }
 
 func sendPart(s *sessions, to ledger.Key, p *proto.Answer) {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -7,8 +7,12 @@
 	"geraniumpass/proto"
 )
 
-// ackEvery is the number of parts received between acknowledgements.
-const ackEvery = 32
+const (
+	// ackParts and ackBytes are the parts and bytes received between acknowledgements, so few that agents
+	// don't wait for them.
+	ackParts = proto.WindowParts / 4
+	ackBytes = proto.WindowBytes / 4
+)
 
 // attempt is one dispatch of a request to one agent.
 type attempt struct {
@@ -24,6 +28,8 @@
 	refused *proto.Refused
 	lost    bool
 	acked   uint32
+	// unackedBytes counts the bytes received since the last acknowledgement.
+	unackedBytes int
 }
 
 func newAttempt(n uint64, p *peer, d *proto.Dispatch) *attempt {
@@ -38,7 +44,11 @@
 
 func (a *attempt) addPart(p *proto.Answer) {
 	a.mu.Lock()
-	a.ready = append(a.ready, a.asm.Accept(p)...)
+	due := a.asm.Accept(p)
+	a.ready = append(a.ready, due...)
+	for _, q := range due {
+		a.unackedBytes += len(q.Data)
+	}
 	a.mu.Unlock()
 	a.signal()
 }
@@ -82,8 +92,9 @@
 		lost:    a.lost,
 	}
 	a.ready = nil
-	if next := a.asm.Next(); next-a.acked >= ackEvery || a.asm.Complete() && next > a.acked {
+	if next := a.asm.Next(); next-a.acked >= ackParts || a.unackedBytes >= ackBytes || a.asm.Complete() && next > a.acked {
 		a.acked = next
+		a.unackedBytes = 0
 		p.ack = next
 	}
 	return p
--- a/proto/answer.go
+++ b/proto/answer.go
@@ -4,6 +4,13 @@
 	"geraniumpass/core"
 )
 
+// WindowParts and WindowBytes are the unacknowledged parts and bytes of an answer at which an agent waits for
+// an acknowledgement.
+const (
+	WindowParts = 128
+	WindowBytes = 512 << 10
+)
+
 // Answer is one part of an attempt's answer. Parts are numbered from 0, and the part with Last set
 // ends the answer.
 type Answer struct {
