Charge a head three times its bytes, and leave room for the program in the memory limit

Cause: an endless line is read into buffers that double and are garbage until collected, of which the budget saw a third; and the runtime's soft limit of 0.7 of the memory leaves out the program itself (some 14 MB), so that 96 MB give 0.7 x 96 + 14 = 81. Now a head counts three times, and the limit is 0.6.

--- a/accept/head.go
+++ b/accept/head.go
@@ -5,6 +5,8 @@
 const (
 	// lineBytes is what a field of a head takes besides its bytes: an entry of a map, a list and two strings.
 	lineBytes = 160
+	// headFactor is what a head takes over its bytes: lines are read into growing buffers and then copied.
+	headFactor = 3
 	// growthFactor is what a body takes that is read into a growing buffer, over its bytes.
 	growthFactor = 2
 )
@@ -52,5 +54,5 @@
 
 // cost returns the bytes of memory that the request takes.
 func (i *intake) cost() int64 {
-	return i.head + i.lines*lineBytes + growthFactor*i.body
+	return headFactor*i.head + i.lines*lineBytes + growthFactor*i.body
 }
--- a/start/gateway.go
+++ b/start/gateway.go
@@ -36,8 +36,9 @@
 
 const (
 	// memoryLimitRatio is the fraction of the machine's memory used as the soft memory limit of the
-	// Go runtime, above which garbage is collected more often.
-	memoryLimitRatio = 0.7
+	// Go runtime, above which garbage is collected more often. The program itself and the buffers of its
+	// connections come on top.
+	memoryLimitRatio = 0.6
 	// sweepInterval is the interval at which state of terminated instances is evicted.
 	sweepInterval = time.Second
 	// checkTimeout bounds the reading of a readiness check.
