Refuse bodies over the limit of an entry without waiting for their first 8 KiB

A server that streams bodies reads 8 KiB of them before the handler, up to its own limit of bodies, so that a client that announces 100 MB and sends one byte waits. The stack of the waiting entry shows readBodyWithStreaming with that limit. Now that limit is one byte; the handler has the limit of the body.

--- a/entry/body.go
+++ b/entry/body.go
@@ -10,8 +10,13 @@
 	"geraniumpass/core"
 )
 
-// noMemoryBackoff is the Retry-After of requests for which there is no memory.
-const noMemoryBackoff = time.Second
+const (
+	// noMemoryBackoff is the Retry-After of requests for which there is no memory.
+	noMemoryBackoff = time.Second
+	// prefetchBytes is the body limit of servers that stream bodies: they read so much before the handler,
+	// which has the limit of the body itself.
+	prefetchBytes = 1
+)
 
 // readBody reads the body of a request whose sender is known, unchanged and up to limit bytes. It fails with a
 // *core.Refusal.
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -34,7 +34,7 @@
 func (e *Entry) callerRoutes() *fiber.App {
 	app := fiber.New(fiber.Config{
 		AppName:   "geraniumpass entry",
-		BodyLimit: e.cfg.MaxBody,
+		BodyLimit: prefetchBytes,
 		// Handlers read bodies within the memory of the process.
 		StreamRequestBody: true,
 		ReadBufferSize:    maxHeaderBytes,
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -48,7 +48,7 @@
 func (e *Entry) controlRoutes() *fiber.App {
 	app := fiber.New(fiber.Config{
 		AppName:   "geraniumpass control",
-		BodyLimit: maxChangeBytes,
+		BodyLimit: prefetchBytes,
 		// Handlers read bodies within the memory of the process, once the operator is known.
 		StreamRequestBody: true,
 		Immutable:         true,
