Give each listener its own part of the budget

A crowd at the readiness or link listener could hold the whole budget until its time for heads was over, while callers with more than 8 KiB were refused: only connections of the same listener are closed for it. Found by reading the eviction again. Now the budget is divided as connections are, so that a flood at one listener takes nothing of another's.

--- a/accept/bounds.go
+++ b/accept/bounds.go
@@ -24,7 +24,6 @@
 
 // Bounds is what a process may hold for its clients.
 type Bounds struct {
-	Budget *budget.Budget
 	memory int64
 	files  int
 }
@@ -37,7 +36,6 @@
 	}
 	memory := int64(memoryMB) << 20
 	return &Bounds{
-		Budget: budget.New(int64(budgetRatio * float64(memory))),
 		memory: memory,
 		files:  openFiles(files),
 	}
@@ -56,6 +54,12 @@
 	return n
 }
 
+// Budget returns a budget for the clients of a listener that has a part of what those of all listeners may hold,
+// so that the clients of one listener don't take what those of another need.
+func (b *Bounds) Budget(part float64) *budget.Budget {
+	return budget.New(int64(part * budgetRatio * float64(b.memory)))
+}
+
 // MaxConns returns the number of connections for a listener that has a part of those of all listeners. They
 // leave descriptors for connections that the process opens itself.
 func (b *Bounds) MaxConns(part float64) int {
--- a/accept/listener.go
+++ b/accept/listener.go
@@ -33,7 +33,7 @@
 	Name string
 	// MaxConns bounds the open connections.
 	MaxConns int
-	// Budget is what all listeners of the process may hold for their clients.
+	// Budget is what the process may hold for the clients of this listener.
 	Budget *budget.Budget
 	// Limits returns the limits in force, none if nil.
 	Limits func() Limits
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -150,7 +150,7 @@
 		Address:  a.cfg.Listen,
 		Name:     "links",
 		MaxConns: bounds.MaxConns(onlyListener),
-		Budget:   bounds.Budget,
+		Budget:   bounds.Budget(onlyListener),
 		Clock:    a.clock,
 		Log:      a.log,
 	})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -172,7 +172,7 @@
 		Address:  address,
 		Name:     name,
 		MaxConns: bounds.MaxConns(part),
-		Budget:   bounds.Budget,
+		Budget:   bounds.Budget(part),
 		Clock:    e.clock,
 		Log:      e.log,
 	})
--- a/start/sidecar.go
+++ b/start/sidecar.go
@@ -84,7 +84,7 @@
 		Address:  cfg.Listen,
 		Name:     "links",
 		MaxConns: bounds.MaxConns(onlyListener),
-		Budget:   bounds.Budget,
+		Budget:   bounds.Budget(onlyListener),
 		Clock:    clock,
 		Log:      log.Named("listen"),
 	})
