Read nothing more from a client that was refused

GODEBUG=gctrace=1 shows live objects, 1.1 MB a client, that stay. Cause: a server reads again after a refusal, since bufio.Reader.ReadLine returns a partial line in place of the error, and a refused connection's bytes were no longer counted. Whether a partial line was there depended on how the bytes arrived. Fix: a refused connection only returns io.EOF.

--- a/accept/accept_test.go
+++ b/accept/accept_test.go
@@ -1,6 +1,8 @@
 package accept
 
 import (
+	"bufio"
+	"bytes"
 	"net"
 	"syscall"
 	"testing"
@@ -114,6 +116,37 @@
 	}
 }
 
+// TestRefusedClientIsNotReadOn guards against servers that read on after a refusal, without any bound: a partial
+// line hides the first error from bufio.Reader.ReadLine.
+func TestRefusedClientIsNotReadOn(t *testing.T) {
+	l := newTestListener(t, 10)
+	c := dial(t, l)
+	sc, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		block := bytes.Repeat([]byte("x"), 16<<10)
+		for range 64 {
+			if _, err := c.Write(block); err != nil {
+				return
+			}
+		}
+	}()
+	r := bufio.NewReader(sc)
+	read, failures := 0, 0
+	for failures < 5 {
+		line, _, err := r.ReadLine()
+		read += len(line)
+		if err != nil {
+			failures++
+		}
+	}
+	if read > minHeadBytes+headSlackBytes+4096 {
+		t.Errorf("%d bytes were read of a head", read)
+	}
+}
+
 func (c *Conn) isClosed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/accept/conn.go
+++ b/accept/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -45,8 +46,12 @@
 	return c
 }
 
-// Read implements net.Conn. It fails with a *RefusedError once the client exceeds a bound.
+// Read implements net.Conn. It fails with a *RefusedError once the client exceeds a bound, and with io.EOF from
+// then on, since servers may read again after an error.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.isRefused() {
+		return 0, io.EOF
+	}
 	n, err := c.tcp.Read(p)
 	if n == 0 {
 		return n, err
