Take no answer with a malformed head at the gateway

Callers got answers that aren't HTTP/1: with a status of 600 or more; without a line whose name has a blank; with a body that was framed in another way than the server meant ("Content-Length : 3", "Transfer-Encoding : chunked"; a coding in HTTP/1.0, which arrived with its chunk sizes). After a status below 100, or a 101 that nobody asked for, the body was read as the next head: where it looked like an answer, it was passed on with its receipt.

Cause: what a head is was left to http.ReadResponse, which takes any status of three digits, strips or drops names with blanks and ignores a coding in HTTP/1.0; awaitHead only asked whether the status is below 200.

The new package head checks the bytes of a head (version, status, names, values) before the library sees them, and the gateway reads all heads through it. A malformed one ends the attempt like a lost answer: 502 without receipt, or the next instance's answer where the request may be repeated; the connection is closed, the instance counts as one that failed, and one line tells the request and what was wrong, in 48 bytes at most and ASCII. That works because the check decides by the bytes, before anything is normalised, and because a reader that has met a malformed line reads no more. Sound heads that are unusual (any case, folded, no reason, HTTP/1.x, interim answers) pass as before.

Evidence: a stand-in that sends such answers, on four kinds of routes: beside a sound instance in three framings, and alone with a connection that stays open.

The debug line of an attempt without an answer is cut at 128 bytes: the error of a library held up to 64 KiB of the instance's bytes (TestTruncatedHeadIsLoggedInPart, which failed before).

--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"geraniumpass/core"
+	"geraniumpass/head"
 	"geraniumpass/plan"
 	"geraniumpass/pool"
 )
@@ -203,7 +204,13 @@
 	}
 	a.r.reason = "no_answer"
 	a.disconnected = isDisconnect(err)
-	a.r.g.log.Debug("instance did not answer", "id", a.r.call.ID, "instance", a.instance.ID, "reused", a.conn.Reused, "error", err)
+	var malformed *head.MalformedError
+	if errors.As(err, &malformed) {
+		malformedAnswers.Add(1)
+		a.r.g.log.Warn("answer is malformed", "id", shortened(a.r.call.ID), "instance", a.instance.ID, "born", a.instance.StartedAt, "error", malformed)
+		return a.orCallerGone(verdictLost)
+	}
+	a.r.g.log.Debug("instance did not answer", "id", a.r.call.ID, "instance", a.instance.ID, "reused", a.conn.Reused, "error", shortened(err.Error()))
 	return a.orCallerGone(verdictLost)
 }
 
--- a/gate/ends.go
+++ b/gate/ends.go
@@ -8,6 +8,7 @@
 	"github.com/samber/lo"
 
 	"geraniumpass/crash"
+	"geraniumpass/head"
 	"geraniumpass/pool"
 )
 
@@ -24,7 +25,8 @@
 	}
 	var mismatched *MismatchedAnswerError
 	var overLimit *pool.ReadLimitError
-	return !errors.As(err, &mismatched) && !errors.As(err, &overLimit)
+	var malformed *head.MalformedError
+	return !errors.As(err, &mismatched) && !errors.As(err, &overLimit) && !errors.As(err, &malformed)
 }
 
 // recordDisconnect checks whether an instance that closed its connection has terminated, and if so
--- a/gate/head.go
+++ b/gate/head.go
@@ -28,6 +28,9 @@
 // did.
 var answersOverLimit = expvar.NewMap("answers_over_limit")
 
+// malformedAnswers counts the answers that were given up because their head was malformed.
+var malformedAnswers = expvar.NewInt("malformed_answers")
+
 // awaitHead waits for the answer that belongs to this attempt and returns its head. It skips interim
 // answers and answers to other requests, which don't end the wait of awaitFirstByte.
 func (a *attempt) awaitHead(sent time.Time) (*http.Response, error) {
@@ -82,7 +85,7 @@
 			_ = a.conn.SetDeadline(earlier(a.r.nextDeadline(), a.r.g.clock.Now().Add(timeout)))
 		}
 	}
-	resp, err := http.ReadResponse(a.conn.Reader, a.r.req)
+	resp, err := a.conn.ReadHead(a.r.req)
 	if err != nil {
 		return nil, a.recordOverLimit("head", err)
 	}
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -3,8 +3,11 @@
 import (
 	"bufio"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
+
+	"geraniumpass/head"
 )
 
 // Conn is a connection to one instance.
@@ -17,6 +20,7 @@
 	Opened time.Time
 
 	source  *limitedReader
+	heads   *head.Reader
 	target  Target
 	expires time.Time
 	pool    *Pool
@@ -33,6 +37,23 @@
 	c.source.left = unlimited
 }
 
+// ReadHead reads the head of a response to req. It fails with a *head.MalformedError if that isn't valid HTTP/1, and
+// then no more can be read.
+func (c *Conn) ReadHead(req *http.Request) (*http.Response, error) {
+	received, err := c.Reader.Peek(c.Reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if err := c.heads.Expect(received); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(c.Reader, req)
+	if malformed := c.heads.Err(); err != nil && malformed != nil {
+		return nil, malformed
+	}
+	return resp, err
+}
+
 // isReusable reports whether an idle connection is still open and has received no unsolicited data.
 func (c *Conn) isReusable() bool {
 	if c.Reader.Buffered() > 0 {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -12,6 +12,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/samber/lo"
+
+	"geraniumpass/head"
 )
 
 const (
@@ -105,8 +107,9 @@
 }
 
 func (p *Pool) newConn(nc net.Conn, t Target) *Conn {
+	heads := head.NewReader(nc)
 	source := &limitedReader{
-		from: nc,
+		from: heads,
 		left: unlimited,
 	}
 	return &Conn{
@@ -114,6 +117,7 @@
 		Reader: bufio.NewReaderSize(source, readBufferBytes),
 		Opened: p.clock.Now(),
 		source: source,
+		heads:  heads,
 		target: t,
 		pool:   p,
 	}
