Take no response with a malformed head at the agent

Callers of the own interface got responses that aren't HTTP/1 as answers: with a status of 000 (passed on as 200), of 001 to 099 or above 599, and with blanks in the names of fields. The agent took the same for the answer of a healthy upstream that doesn't leave, and for the confirmation of an order.

Cause: fasthttp takes any status of three digits, reads 0 as unset and so as 200, any version as 1.0, and names with blanks.

The agent's connections to its upstream check heads by package head, which fails the read at the end of a malformed line. It works since fasthttp sends a whole request before it reads, so that a head is due after each write; bodies aren't looked at, and a connection that has met a malformed head reads and writes no more. The entry gets the same as for an upstream that was lost: the outcome is unknown, and a request that may be repeated goes to another one.

Evidence: a stand-in in front of HTTPUpstream, three framings.

--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -14,6 +14,7 @@
 	"github.com/zeebo/errs/v2"
 
 	"geraniumpass/core"
+	"geraniumpass/head"
 	"geraniumpass/proto"
 )
 
@@ -89,6 +90,8 @@
 		client: &fasthttp.Client{
 			MaxConnsPerHost:     maxUpstreamConns,
 			MaxIdleConnDuration: idleConnTimeout,
+			DialTimeout:         head.DialTimeout,
+			ConfigureClient:     head.HideContents,
 			StreamResponseBody:  true,
 			ReadBufferSize:      maxHeadBytes,
 			// The HTTP client must not retry: only the entry knows whether a request may be
@@ -99,6 +102,8 @@
 			DisableHeaderNamesNormalizing: false,
 		},
 		controls: &fasthttp.Client{
+			DialTimeout:              head.DialTimeout,
+			ConfigureClient:          head.HideContents,
 			MaxIdleConnDuration:      idleConnTimeout,
 			MaxResponseBodySize:      maxControlBytes,
 			RetryIfErr:               func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
--- a/stand/raw.go
+++ b/stand/raw.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 )
 
@@ -82,3 +83,13 @@
 		}
 	}
 }
+
+// WithLength returns the end of a head with a Content-Length, and the body.
+func WithLength(body string) string {
+	return "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+}
+
+// Chunked returns the end of a head with a chunked coding, and the body in one chunk.
+func Chunked(body string) string {
+	return "Transfer-Encoding: chunked\r\n\r\n" + strconv.FormatInt(int64(len(body)), 16) + "\r\n" + body + "\r\n0\r\n\r\n"
+}
