Read a response of a later HTTP/1 as one of HTTP/1.1

Callers of the own interface got chunk sizes within the body of an answer, as a whole one, and health checks failed, where an upstream answers with HTTP/1.2 or above. Such a response is valid, and to be read like HTTP/1.1.

Cause: fasthttp takes any version but 1.1 for 1.0 and ignores its coding.

The check of heads now lowers the minor version as the bytes pass, before fasthttp sees it.

--- a/agent/malformed_test.go
+++ b/agent/malformed_test.go
@@ -87,6 +87,22 @@
 	}
 }
 
+// TestUnusualHeadOfAnUpstreamIsAnAnswer guards against a check of heads that turns sound answers away.
+func TestUnusualHeadOfAnUpstreamIsAnAnswer(t *testing.T) {
+	for _, c := range upstreamCalls {
+		for _, f := range upstreamFramings {
+			for _, h := range stand.UnusualHeads("X-Field: v\r\n") {
+				t.Run(c.name+"/"+f.name+"/"+h.Name, func(t *testing.T) {
+					s := startRawUpstream(t, false, h.Raw+f.frame(c.body))
+					if err := c.do(NewHTTPUpstream(s.Address)); err != nil {
+						t.Error(err)
+					}
+				})
+			}
+		}
+	}
+}
+
 // TestConnectionIsReusedAfterSoundAnswers guards against a check of heads that takes a body or the next answer on a
 // connection for a malformed head.
 func TestConnectionIsReusedAfterSoundAnswers(t *testing.T) {
--- a/head/checker.go
+++ b/head/checker.go
@@ -20,6 +20,7 @@
 
 const (
 	versionPrefix    = "HTTP/1."
+	knownMinor       = '1'
 	transferEncoding = "Transfer-Encoding"
 	// maxStatus is the largest valid status (RFC 9110, section 15).
 	maxStatus = 599
@@ -50,11 +51,14 @@
 	}
 }
 
-// Write checks the next bytes of the response; those after the head are ignored. It fails with a
-// *MalformedError and then returns the number of bytes before the end of the malformed line.
-func (c *Checker) Write(p []byte) (int, error) {
+// Check checks the next bytes of the response; those after the head are ignored. A minor version above 1 is replaced by
+// 1, because a response is to be read as of the highest version that its reader knows (RFC 9110, section 2.5), and
+// fasthttp reads any other as 1.0. It fails with a *MalformedError and then returns the number of bytes before the end
+// of the malformed line.
+func (c *Checker) Check(p []byte) (int, error) {
 	n := 0
 	for c.stage != stageBody && n < len(p) {
+		c.lowerMinor(p[n:])
 		end := bytes.IndexByte(p[n:], '\n')
 		if end < 0 {
 			c.line = append(c.line, p[n:]...)
@@ -74,6 +78,14 @@
 	return len(p), nil
 }
 
+// lowerMinor replaces the minor version if it is in p, the next bytes of the response.
+func (c *Checker) lowerMinor(p []byte) {
+	i := len(versionPrefix) - len(c.line)
+	if c.stage == stageStatusLine && 0 <= i && i < len(p) && isDigit(p[i]) {
+		p[i] = min(p[i], knownMinor)
+	}
+}
+
 // checkLine checks a line without its end.
 func (c *Checker) checkLine(line []byte) error {
 	switch {
--- a/head/checker_test.go
+++ b/head/checker_test.go
@@ -85,7 +85,7 @@
 	c := Checker{Upgrade: true}
 	c.Begin()
 	const raw = "HTTP/1.1 101 Switching Protocols\r\n\r\n\x81\x00\n\n"
-	if n, err := io.WriteString(&c, raw); n != len(raw) || err != nil {
+	if n, err := c.Check([]byte(raw)); n != len(raw) || err != nil {
 		t.Errorf("%d of %d bytes, %v", n, len(raw), err)
 	}
 }
@@ -118,3 +118,21 @@
 		t.Error("expects another head")
 	}
 }
+
+// TestMinorVersionIsLowered guards against a response of a later HTTP/1 whose chunks are taken for its body by a library
+// that knows two versions.
+func TestMinorVersionIsLowered(t *testing.T) {
+	for _, tt := range []struct{ version, want string }{
+		{"HTTP/1.0", "HTTP/1.0"},
+		{"HTTP/1.1", "HTTP/1.1"},
+		{"HTTP/1.2", "HTTP/1.1"},
+		{"HTTP/1.9", "HTTP/1.1"},
+	} {
+		const rest = " 200 OK\r\nX: HTTP/1.9\r\n\r\nHTTP/1.9"
+		for _, n := range []int{1, 7, 8, 100} {
+			if got, err := readHeads(tt.version+rest, n); err != nil || got != tt.want+rest {
+				t.Errorf("%q in pieces of %d bytes: %q, %v", tt.version, n, got, err)
+			}
+		}
+	}
+}
--- a/head/reader.go
+++ b/head/reader.go
@@ -28,7 +28,7 @@
 		return r.err
 	}
 	r.checker.Begin()
-	_, r.err = r.checker.Write(received)
+	_, r.err = r.checker.Check(received)
 	return r.err
 }
 
@@ -41,7 +41,7 @@
 	n, err := r.from.Read(p)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	valid, malformed := r.checker.Write(p[:n])
+	valid, malformed := r.checker.Check(p[:n])
 	if malformed != nil {
 		r.err = malformed
 		return valid, malformed
