--- a/head/reader.go
+++ b/head/reader.go
@@ -32,6 +32,14 @@
 	return r.err
 }
 
+// ExpectUpgrade expects the head of the response to a request for another protocol.
+func (r *Reader) ExpectUpgrade() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.checker.Upgrade = true
+	r.checker.Begin()
+}
+
 // Read implements io.Reader. The end of a malformed line is not returned, so that no library takes it for a
 // whole one. From then on, Read fails with a *MalformedError.
 func (r *Reader) Read(p []byte) (int, error) {
@@ -49,8 +57,8 @@
 	return n, err
 }
 
-// Err returns the *MalformedError that ended the reading of the head, or nil. A library may report a part of the
-// malformed line instead.
+// Err returns the *MalformedError that ended the reading of a head, or nil. A library may report a part of the malformed
+// line instead.
 func (r *Reader) Err() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
