Take no instance list from a response with a malformed head

An entry took responses that aren't HTTP/1 for the platform's instance list: one with status 000 and "[]" as its body is a list without upstreams. Chunks of a response of HTTP/1.2 were taken for the list itself.

Cause: fasthttp, as at the agent.

The list's client dials connections that check heads. A malformed one is an error, after which the entry keeps the last list.

--- a/agent/malformed_test.go
+++ b/agent/malformed_test.go
@@ -13,16 +13,6 @@
 	"geraniumpass/stand"
 )
 
-// upstreamFramings lists the ways to frame a body.
-var upstreamFramings = []struct {
-	name  string
-	frame func(body string) string
-}{
-	{"length", stand.WithLength},
-	{"chunked", stand.Chunked},
-	{"no length", func(body string) string { return "\r\n" + body }},
-}
-
 // upstreamCalls lists the calls to an upstream and a body of a sound response to each.
 var upstreamCalls = []struct {
 	name string
@@ -69,10 +59,10 @@
 // taken for that of a healthy upstream, or for the confirmation of an order.
 func TestMalformedHeadOfAnUpstreamIsNoAnswer(t *testing.T) {
 	for _, c := range upstreamCalls {
-		for _, f := range upstreamFramings {
+		for _, f := range stand.Framings() {
 			for _, h := range stand.MalformedHeads("X-Field: v\r\n") {
-				t.Run(c.name+"/"+f.name+"/"+h.Name, func(t *testing.T) {
-					s := startRawUpstream(t, false, h.Raw+f.frame(c.body))
+				t.Run(c.name+"/"+f.Name+"/"+h.Name, func(t *testing.T) {
+					s := startRawUpstream(t, false, h.Raw+f.Frame(c.body))
 					err := c.do(NewHTTPUpstream(s.Address))
 					if err == nil {
 						t.Error("a malformed response was taken for an answer")
@@ -90,10 +80,10 @@
 // TestUnusualHeadOfAnUpstreamIsAnAnswer guards against a check of heads that turns sound answers away.
 func TestUnusualHeadOfAnUpstreamIsAnAnswer(t *testing.T) {
 	for _, c := range upstreamCalls {
-		for _, f := range upstreamFramings {
+		for _, f := range stand.Framings() {
 			for _, h := range stand.UnusualHeads("X-Field: v\r\n") {
-				t.Run(c.name+"/"+f.name+"/"+h.Name, func(t *testing.T) {
-					s := startRawUpstream(t, false, h.Raw+f.frame(c.body))
+				t.Run(c.name+"/"+f.Name+"/"+h.Name, func(t *testing.T) {
+					s := startRawUpstream(t, false, h.Raw+f.Frame(c.body))
 					if err := c.do(NewHTTPUpstream(s.Address)); err != nil {
 						t.Error(err)
 					}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -13,6 +13,7 @@
 	"github.com/zeebo/errs/v2"
 
 	"geraniumpass/core"
+	"geraniumpass/head"
 	"geraniumpass/route"
 )
 
@@ -31,6 +32,8 @@
 
 // listClient reads the instance list, which has some hundred bytes for each instance.
 var listClient = &fasthttp.Client{
+	DialTimeout:         head.DialTimeout,
+	ConfigureClient:     head.HideContents,
 	ReadTimeout:         listTimeout,
 	MaxResponseBodySize: maxListBytes,
 }
--- a/stand/raw.go
+++ b/stand/raw.go
@@ -84,12 +84,27 @@
 	}
 }
 
+// Framing is a way to frame the body of a response.
+type Framing struct {
+	Name string
+	// Frame returns the end of a head and the framed body.
+	Frame func(body string) string
+}
+
+// Framings returns the ways to frame a body.
+func Framings() []Framing {
+	return []Framing{
+		{Name: "length", Frame: WithLength},
+		{Name: "chunked", Frame: chunked},
+		{Name: "no length", Frame: func(body string) string { return "\r\n" + body }},
+	}
+}
+
 // WithLength returns the end of a head with a Content-Length, and the body.
 func WithLength(body string) string {
 	return "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
 }
 
-// Chunked returns the end of a head with a chunked coding, and the body in one chunk.
-func Chunked(body string) string {
+func chunked(body string) string {
 	return "Transfer-Encoding: chunked\r\n\r\n" + strconv.FormatInt(int64(len(body)), 16) + "\r\n" + body + "\r\n0\r\n\r\n"
 }
