Take no reply with a malformed head in the operator's commands

An operator could be told that a change was accepted, or be shown a configuration or a gateway's status, by a response that isn't HTTP/1, such as one with status 000.

Cause: fasthttp, as at the agent.

The commands' client dials connections that check heads, so that the command fails and names what was wrong.

--- a/oper/client.go
+++ b/oper/client.go
@@ -10,6 +10,7 @@
 
 	"geraniumpass/config"
 	"geraniumpass/entry"
+	"geraniumpass/head"
 )
 
 const (
@@ -19,6 +20,8 @@
 )
 
 var httpClient = &fasthttp.Client{
+	DialTimeout:         head.DialTimeout,
+	ConfigureClient:     head.HideContents,
 	ReadTimeout:         callTimeout,
 	MaxResponseBodySize: maxReplyBytes,
 }
