Open no link where the answer to its opening is malformed

A link was opened although a line that isn't HTTP/1 was in the answer to its opening, so that something else than the peer had written to the connection. Nothing was believed because of it: both sides prove a key afterwards.

The connection checks that one head and nothing after it.

--- a/wire/link.go
+++ b/wire/link.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs/v2"
 
+	"geraniumpass/head"
 	"geraniumpass/proto"
 )
 
@@ -73,23 +74,25 @@
 		ReadBufferSize:   16 << 10,
 		WriteBufferSize:  16 << 10,
 	}
-	var head *headLimit
+	var checked *head.Conn
+	var limit *headLimit
 	d.NetDialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		nc, err := (&net.Dialer{}).DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		head = newHeadLimit(nc)
-		return head, nil
+		checked = head.NewUpgradeConn(nc)
+		limit = newHeadLimit(checked)
+		return limit, nil
 	}
 	c, resp, err := d.Dial("ws://"+address+"/link", nil)
 	if err != nil {
-		return nil, errs.Wrap(err)
+		return nil, errs.Wrap(checked.Cause(err))
 	}
 	if resp != nil && resp.Body != nil {
 		_ = resp.Body.Close()
 	}
-	head.lift()
+	limit.lift()
 	return startLink(c, own, key, sideDialled, timeout)
 }
 
