Check heads in the caller that verifies answers

The caller of the demo and the soak took responses that aren't HTTP/1 for whole answers, so that neither would have noticed an entry that passes them on.

Cause: fasthttp, as at the agent. Its clients dial connections that check heads.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -15,6 +15,7 @@
 
 	"geraniumpass/core"
 	"geraniumpass/entry"
+	"geraniumpass/head"
 	"geraniumpass/stand"
 )
 
@@ -57,12 +58,16 @@
 
 var (
 	bufferedClient = &fasthttp.Client{
+		DialTimeout:     head.DialTimeout,
+		ConfigureClient: head.HideContents,
 		MaxConnsPerHost: 4096,
 		RetryIfErr:      func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		// The limit avoids reusing a connection that the entry is about to close.
 		MaxIdleConnDuration: 500 * time.Millisecond,
 	}
 	streamingClient = &fasthttp.Client{
+		DialTimeout:         head.DialTimeout,
+		ConfigureClient:     head.HideContents,
 		MaxConnsPerHost:     4096,
 		RetryIfErr:          func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		MaxIdleConnDuration: 500 * time.Millisecond,
