Take no answer for whole that was reset during a long upload

Callers got part of an answer as a whole one, a 200 with its receipt: an instance answered a long upload at once without a length, sent part of the body and reset the connection while the upload was still being written. The same for a signed failure, for HTTP/1.0, and for streams, which were neither resumed nor visibly broken.

Cause: the kernel reports a reset once. The write of the upload was told, its error was dropped, and the reads after it got the bytes received before and then an orderly end, which is what ends an answer without a length.

The new package reset wraps the connection. It keeps the failure that a write or a read was told of, and its Read returns that instead of an end. A write that fails with EPIPE doesn't count: the kernel reports it where the peer had ended its sending side in order before it reset the connection, so that an early answer with a lingering close passes as before. That works because all reads of answers go through it, so that the attempt ends like any other lost one: 502 without receipt, a stream that is visibly broken, or the next instance's answer; the instance counts as one that failed, and one line tells the request. The dropped error is logged now.

Left: an instance that answers early and neither reads on nor closes is answered 504 at the deadline, as before, because the answer isn't read before the upload is written.

--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -247,7 +247,7 @@
 	return v
 }
 
-// send writes the request and reports whether any of it was sent. What is missing of it shows in the answer.
+// send writes the request and reports whether any of it was sent. An instance may answer without reading the rest.
 func (a *attempt) send() bool {
 	head, body := a.encode(), a.r.body
 	if len(body) <= maxJoinedBytes {
@@ -256,9 +256,13 @@
 	n, err := a.conn.Write(head)
 	if err == nil && len(body) > 0 {
 		// A large body is held once and not copied for each attempt.
-		_, _ = a.conn.Write(body)
+		_, err = a.conn.Write(body)
 	}
-	return err == nil || n > 0
+	if err == nil {
+		return true
+	}
+	a.r.g.log.Debug("request was not sent in full", "id", a.r.call.ID, "instance", a.instance.ID, "error", err)
+	return n > 0
 }
 
 // encode returns the head of the request as sent to the upstream: the request line unchanged, with a
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -8,17 +8,20 @@
 	"time"
 
 	"geraniumpass/head"
+	"geraniumpass/reset"
 )
 
 // Conn is a connection to one instance.
 type Conn struct {
-	net.Conn
+	*reset.Conn
+
 	Reader *bufio.Reader
 	// Reused reports whether the connection has carried a request before.
 	Reused bool
 	// Opened is when the connection was opened.
 	Opened time.Time
 
+	raw     net.Conn
 	source  *limitedReader
 	heads   *head.Reader
 	target  Target
@@ -59,7 +62,7 @@
 	if c.Reader.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
+	sc, ok := c.raw.(syscall.Conn)
 	if !ok {
 		return true
 	}
@@ -86,7 +89,7 @@
 // Abort closes the connection with a reset, which drops unsent data. Otherwise a frozen instance
 // could still receive the request of a caller that has disconnected once it resumes.
 func (c *Conn) Abort() {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
+	if t, ok := c.raw.(*net.TCPConn); ok {
 		// SetLinger fails only on a closed connection.
 		_ = t.SetLinger(0)
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -14,6 +14,7 @@
 	"github.com/samber/lo"
 
 	"geraniumpass/head"
+	"geraniumpass/reset"
 )
 
 const (
@@ -107,15 +108,17 @@
 }
 
 func (p *Pool) newConn(nc net.Conn, t Target) *Conn {
-	heads := head.NewReader(nc)
+	conn := reset.NewConn(nc)
+	heads := head.NewReader(conn)
 	source := &limitedReader{
 		from: heads,
 		left: unlimited,
 	}
 	return &Conn{
-		Conn:   nc,
+		Conn:   conn,
 		Reader: bufio.NewReaderSize(source, readBufferBytes),
 		Opened: p.clock.Now(),
+		raw:    nc,
 		source: source,
 		heads:  heads,
 		target: t,
