Take no response of the store for whole that was reset during a long write

A gateway or sidecar could take a response that was reset after its head for an empty one, and so a long write to the store for one that took effect at revision 0.

Cause: the same as at the gateway. http.Transport sends and receives at the same time, so that its writing and its reading race for the reset; where the write is told, the read sees the end of a response without a length.

Connections that check heads are wrapped by package reset, which at an end waits for the pending write, after it has ended it, so that no reader gets to the end before the write's result. All clients that dial through package head have that now: the client of store and engines, the agent's, the instance list's, the operator's, the verifying caller's, and links.

--- a/head/conn.go
+++ b/head/conn.go
@@ -1,8 +1,13 @@
 package head
 
-import "net"
+import (
+	"net"
 
-// Conn is a client's connection that checks the heads of the responses.
+	"geraniumpass/reset"
+)
+
+// Conn is a client's connection that checks the heads of the responses, and on which a reset is never read as the end of
+// one.
 type Conn struct {
 	net.Conn
 
@@ -11,9 +16,10 @@
 
 // NewConn returns a connection that checks nothing until Expect is called.
 func NewConn(nc net.Conn) *Conn {
+	conn := reset.NewConn(nc)
 	return &Conn{
-		Conn:   nc,
-		reader: NewReader(nc),
+		Conn:   conn,
+		reader: NewReader(conn),
 	}
 }
 
--- a/stand/early.go
+++ b/stand/early.go
@@ -140,3 +140,22 @@
 	// The connection is open, so that this can't fail.
 	_ = c.SetLinger(0)
 }
+
+// CutResponse is a response without a length, the connection of which is to be reset.
+type CutResponse struct {
+	Name string
+	Raw  string
+}
+
+// CutResponses returns responses with the given lines of fields that break off after their heads, and one that breaks off
+// after part of its body.
+func CutResponses(fields, part string) []CutResponse {
+	ok := "HTTP/1.1 200 OK\r\n" + fields
+	return []CutResponse{
+		{Name: "after the head", Raw: ok + "\r\n"},
+		{Name: "announced", Raw: ok + "Connection: close\r\n\r\n"},
+		{Name: "HTTP 1.0", Raw: "HTTP/1.0 200 OK\r\n" + fields + "\r\n"},
+		{Name: "after an interim response", Raw: "HTTP/1.1 103 Early Hints\r\n\r\n" + ok + "\r\n"},
+		{Name: "after a part", Raw: ok + "\r\n" + part},
+	}
+}
